--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/.ready
+PACKAGES := packages/damasktide packages/damasktidectl packages/damasktide-standins
+SOURCES := packages tooling
+
+.PHONY: demo test lint format types setup clean
+
+setup: $(READY)
+
+$(READY): tooling/requirements.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --require-hashes -r tooling/requirements.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ,$(PACKAGES))
+	touch $(READY)
+
+demo: $(READY)
+	$(PYTHON) -m damasktide_standins.demo
+
+test: $(READY)
+	$(PYTHON) tooling/run_tests.py
+
+format: $(READY)
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+lint: $(READY)
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+
+types: $(READY)
+	$(VENV)/bin/mypy $(SOURCES)
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache
--- /dev/null
+++ b/tooling/run_tests.py
@@ -0,0 +1,55 @@
+"""Runs every unittest of the workspace and prints one closing line with the counts."""
+
+import sys
+import unittest
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def _known_red_ids() -> set[str]:
+    """Return the test ids that KNOWN-RED.txt lists as failing for a real, open fault."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {line.removeprefix("test:").strip() for line in lines if line.startswith("test:")}
+
+
+def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from _flatten(item)
+        else:
+            yield item
+
+
+def _discover() -> Iterator[unittest.TestCase]:
+    for source in sorted(ROOT.glob("packages/*/src")):
+        loader = unittest.TestLoader()
+        yield from _flatten(loader.discover(str(source), top_level_dir=str(source)))
+
+
+def main() -> int:
+    """Run the tests and return the exit code: 0 if all that are not known red passed."""
+    red_ids = _known_red_ids()
+    suite = unittest.TestSuite()
+    passed_over = []
+    for test in _discover():
+        if test.id() in red_ids:
+            passed_over.append(test.id())
+        else:
+            suite.addTest(test)
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    for test_id in passed_over:
+        print(f"known red, not run: {test_id}")
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped)
+    passed = result.testsRun - failed - skipped
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed or not result.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
