Add the workspace, the runtime slice and the checks

Cause: every slice needs tasks, registries, documents with places and one way to run the checks. Ruled out: threads and locks for shared state; a task with an inbox gives one owner for each piece of state.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/__init__.py
@@ -0,0 +1,1 @@
+"""Router for backend servers that hold keys exclusively."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Checks requests against the accepted lists and defines every refusal."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tracks which instances are live."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, clocks, registries and findings that every slice uses."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/runtime/task.py
@@ -0,0 +1,192 @@
+"""Tasks: greenlets that own their state and talk by messages."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, ClassVar, TypeVar
+
+import gevent
+from gevent.event import AsyncResult
+from gevent.queue import Empty, Queue
+from loguru import logger
+
+M = TypeVar("M", bound=Callable[..., Any])
+
+DEFAULT_ASK_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Asks a task to end after the messages that are already in its inbox."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskFailed:
+    """Reports that a handler raised and the task ended.
+
+    Attributes
+    ----------
+    task_name
+        Name of the failed task.
+    reason
+        Text of the exception.
+    """
+
+    task_name: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Envelope:
+    message: object
+    reply: AsyncResult | None
+
+
+def handles(message_type: type) -> Callable[[M], M]:
+    """Register the decorated method as the handler of ``message_type``."""
+
+    def decorate(method: M) -> M:
+        method._handled_type = message_type  # type: ignore[attr-defined]
+        return method
+
+    return decorate
+
+
+def every(seconds: float) -> Callable[[M], M]:
+    """Register the decorated method to run every ``seconds`` in the task's greenlet."""
+
+    def decorate(method: M) -> M:
+        method._period_s = seconds  # type: ignore[attr-defined]
+        return method
+
+    return decorate
+
+
+class Task:
+    """A greenlet that handles one message at a time.
+
+    Subclasses mark methods with :func:`handles` and :func:`every`. Only the task's own
+    greenlet touches its state, so handlers need no locks.
+
+    Parameters
+    ----------
+    name
+        Name used in logs.
+    on_failure
+        Called with :class:`TaskFailed` when a handler raises outside an ``ask``.
+    """
+
+    _handler_by_type: ClassVar[dict[type, str]] = {}
+    _period_by_method: ClassVar[dict[str, float]] = {}
+
+    def __init_subclass__(cls, **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        cls._handler_by_type = dict(cls._handler_by_type)
+        cls._period_by_method = dict(cls._period_by_method)
+        for name, member in vars(cls).items():
+            if hasattr(member, "_handled_type"):
+                cls._handler_by_type[member._handled_type] = name
+            if hasattr(member, "_period_s"):
+                cls._period_by_method[name] = member._period_s
+
+    def __init__(self, name: str, on_failure: Callable[[TaskFailed], None] | None = None) -> None:
+        self.name = name
+        self._on_failure = on_failure
+        self._inbox: Queue = Queue()
+        self._greenlet: gevent.Greenlet | None = None
+        self._due_by_method: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def tell(self, message: object) -> None:
+        """Queue ``message`` and return at once."""
+        self._inbox.put(_Envelope(message, None))
+
+    def ask(self, message: object, timeout_s: float = DEFAULT_ASK_TIMEOUT_S) -> Any:
+        """Queue ``message`` and wait for what its handler returns.
+
+        Raises
+        ------
+        gevent.Timeout
+            If there is no reply within ``timeout_s`` seconds.
+        Exception
+            Whatever the handler raised.
+        """
+        reply = AsyncResult()
+        self._inbox.put(_Envelope(message, reply))
+        return reply.get(timeout=timeout_s)
+
+    def stop(self, timeout_s: float = DEFAULT_ASK_TIMEOUT_S) -> None:
+        """Handle what is queued, then end; wait at most ``timeout_s`` seconds."""
+        self.tell(Stop())
+        if self._greenlet is not None:
+            self._greenlet.join(timeout=timeout_s)
+
+    def on_start(self) -> None:
+        """Open sockets; runs in the task's greenlet before the first message."""
+
+    def on_stop(self) -> None:
+        """Close sockets; runs in the task's greenlet after the last message."""
+
+    def _run(self) -> None:
+        try:
+            self.on_start()
+            self._schedule_periods()
+            while self._step():
+                pass
+        except Exception as error:
+            logger.bind(task=self.name).exception("task failed")
+            if self._on_failure is not None:
+                self._on_failure(TaskFailed(self.name, str(error)))
+        finally:
+            self.on_stop()
+
+    def _schedule_periods(self) -> None:
+        now = time.monotonic()
+        self._due_by_method = dict.fromkeys(self._period_by_method, now)
+
+    def _step(self) -> bool:
+        self._run_due_periods()
+        try:
+            envelope = self._inbox.get(timeout=self._seconds_to_next_period())
+        except Empty:
+            return True
+        if isinstance(envelope.message, Stop):
+            return False
+        self._dispatch(envelope)
+        return True
+
+    def _run_due_periods(self) -> None:
+        now = time.monotonic()
+        for method, due in self._due_by_method.items():
+            if due <= now:
+                # A late run is not made up for, so a paused process does not burst.
+                self._due_by_method[method] = now + self._period_by_method[method]
+                getattr(self, method)()
+
+    def _seconds_to_next_period(self) -> float | None:
+        if not self._due_by_method:
+            return None
+        return max(0.0, min(self._due_by_method.values()) - time.monotonic())
+
+    def _dispatch(self, envelope: _Envelope) -> None:
+        method = self._handler_by_type.get(type(envelope.message))
+        if method is None:
+            error = TypeError(f"task {self.name} has no handler for {type(envelope.message)}")
+            self._reject(envelope, error)
+            return
+        try:
+            result = getattr(self, method)(envelope.message)
+        except Exception as handler_error:
+            self._reject(envelope, handler_error)
+            return
+        if envelope.reply is not None:
+            envelope.reply.set(result)
+
+    @staticmethod
+    def _reject(envelope: _Envelope, error: Exception) -> None:
+        if envelope.reply is None:
+            raise error
+        envelope.reply.set_exception(error)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/runtime/tests/test_task.py
@@ -0,0 +1,72 @@
+import unittest
+from dataclasses import dataclass
+
+import gevent
+
+from damasktide.runtime.task import Task, TaskFailed, handles
+
+
+@dataclass(frozen=True)
+class Add:
+    amount: int
+
+
+@dataclass(frozen=True)
+class Fail:
+    pass
+
+
+class Adder(Task):
+    def __init__(self, **kwargs: object) -> None:
+        super().__init__("adder", **kwargs)  # type: ignore[arg-type]
+        self.total = 0
+
+    @handles(Add)
+    def _add(self, message: Add) -> int:
+        self.total += message.amount
+        return self.total
+
+    @handles(Fail)
+    def _fail(self, message: Fail) -> None:
+        raise RuntimeError("broken")
+
+
+class TaskTest(unittest.TestCase):
+    def test_ask_returns_what_the_handler_returns(self) -> None:
+        """Guards against replies that get lost or crossed."""
+        task = Adder()
+        task.start()
+        self.assertEqual([task.ask(Add(1)), task.ask(Add(2))], [1, 3])
+        task.stop()
+
+    def test_stop_handles_queued_messages_first(self) -> None:
+        """Guards against a stop that drops work already queued."""
+        task = Adder()
+        task.start()
+        for _ in range(100):
+            task.tell(Add(1))
+        task.stop()
+        self.assertEqual(task.total, 100)
+
+    def test_failure_of_a_told_message_is_reported(self) -> None:
+        """Guards against a task that ends without anybody noticing."""
+        failures: list[TaskFailed] = []
+        task = Adder(on_failure=failures.append)
+        task.start()
+        task.tell(Fail())
+        gevent.sleep(0)
+        task.stop()
+        self.assertEqual(failures, [TaskFailed("adder", "broken")])
+
+    def test_failure_of_an_asked_message_reaches_the_asker_only(self) -> None:
+        """Guards against one bad request ending a task that serves others."""
+        task = Adder()
+        task.start()
+        with self.assertRaisesRegex(RuntimeError, "broken"):
+            task.ask(Fail())
+        self.assertEqual(task.ask(Add(1)), 1)
+        task.stop()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damasktidectl/src/damasktidectl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators of damasktide."""
