Patch the standard library for gevent in the test runner

Cause: tasks that use urllib3 block each other in an unpatched process. Ruled out: patching in each test file, which would be too late after imports. Change: tooling/run_tests.py patches first, as the binaries do. Conclusion: tests run in the same environment as the product.

--- a/tooling/run_tests.py
+++ b/tooling/run_tests.py
@@ -1,5 +1,10 @@
 """Runs every unittest of the workspace and prints one closing line with the counts."""
 
+from gevent import monkey
+
+# The binaries patch the standard library, so the tests run the same way.
+monkey.patch_all()
+
 import sys
 import unittest
 from collections.abc import Iterator
