--- /dev/null
+++ b/packages/damasktide/src/damasktide/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Follows the platform's list of live backend servers."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/discovery/live_list.py
@@ -0,0 +1,87 @@
+"""Follows the platform's list of live and leaving backend servers."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from damasktide.balancing.targets import Target
+from damasktide.runtime.task import Task, every
+
+POLL_INTERVAL_S = 0.5
+_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """The live list as last read.
+
+    Attributes
+    ----------
+    targets
+        All backend servers of all services.
+    """
+
+    targets: tuple[Target, ...]
+
+
+def decode_live_list(text: str | bytes) -> tuple[Target, ...]:
+    """Return the targets of a live list; entries that are malformed are left out."""
+    return tuple(_decode_entries(json.loads(text)["instances"]))
+
+
+def _decode_entries(entries: list[dict[str, Any]]) -> Iterator[Target]:
+    for entry in entries:
+        try:
+            yield Target(
+                server_id=str(entry["server_id"]),
+                service=str(entry["service"]),
+                domain=str(entry["domain"]),
+                region=str(entry["region"]),
+                host=str(entry["host"]),
+                port=int(entry["port"]),
+                slots=int(entry.get("slots", 6)),
+                connections=int(entry.get("connections", 110)),
+                leaving=entry.get("state") == "leaving",
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            logger.bind(entry=entry).warning("live list entry ignored: {}", error)
+
+
+class LiveListTask(Task):
+    """Polls the live list and publishes each change.
+
+    The last list is kept while the platform does not answer.
+
+    Parameters
+    ----------
+    url
+        URL of the list.
+    publish
+        Receives :class:`TargetsListed` when the list has changed.
+    """
+
+    def __init__(self, url: str, publish: Callable[[TargetsListed], None], **kwargs: Any) -> None:
+        super().__init__("live-list", **kwargs)
+        self._url = url
+        self._publish = publish
+        self._last: tuple[Target, ...] | None = None
+        self._pool = PoolManager(
+            timeout=Timeout(total=_TIMEOUT_S), retries=Retry(False), maxsize=1
+        )
+
+    @every(POLL_INTERVAL_S)
+    def _poll(self) -> None:
+        try:
+            response = self._pool.request("GET", self._url)
+            targets = decode_live_list(response.data)
+        except (HTTPError, ValueError, KeyError, TypeError) as error:
+            logger.bind(task=self.name).debug("live list not read: {}", error)
+            return
+        if response.status == 200 and targets != self._last:
+            self._last = targets
+            self._publish(TargetsListed(targets))
--- /dev/null
+++ b/packages/damasktide/src/damasktide/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP front end for callers, operators and the platform."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/constants.py
@@ -0,0 +1,18 @@
+"""Times of the ownership protocol, in seconds."""
+
+GRANT_TTL_S = 0.5
+RIGHT_TTL_S = 0.6
+RENEW_INTERVAL_S = 0.15
+SUSPECT_AFTER_S = 0.4
+HOLD_LIMIT_S = 900.0
+
+# Table news older than this makes an instance ask the confirmers as well.
+NEWS_STALE_AFTER_S = 0.3
+
+# Clocks of two machines may run apart by this factor, so each wait is stretched by it.
+CLOCK_RATE_FACTOR = 1.01
+
+# A backend server that does not check grants may overrun a deadline by this much.
+UNCHECKED_MARGIN_S = 0.1
+
+MAX_CONFIRMERS_PER_DOMAIN = 5
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/contacts.py
@@ -0,0 +1,101 @@
+"""What this instance knows of each backend server from its own exchanges."""
+
+from dataclasses import dataclass, replace
+
+from damasktide.ownership.constants import SUSPECT_AFTER_S
+from damasktide.ownership.effects import ServerReply
+
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """State of the exchanges with one backend server.
+
+    Attributes
+    ----------
+    watched_since
+        Monotonic time at which this instance began to exchange messages with the server.
+    reached_at
+        Time of the last response, or of a peer's last response.
+    reached_since
+        Start of the present run of responses without a gap.
+    term, basis_ms
+        From the last response; empty before the first.
+    accepted_version
+        Map version of the last grant that the server accepted.
+    draining
+        Running requests for shards that the server no longer owns.
+    """
+
+    watched_since: float
+    reached_at: float = NEVER
+    reached_since: float = NEVER
+    term: str = ""
+    basis_ms: int = 0
+    accepted_version: int = 0
+    draining: int = 0
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the server has not been reached for the suspicion time."""
+        return now - max(self.watched_since, self.reached_at) > SUSPECT_AFTER_S
+
+    def is_reached(self, now: float) -> bool:
+        """Return whether there was a response within the suspicion time."""
+        return now - self.reached_at <= SUSPECT_AFTER_S
+
+
+class Contacts:
+    """The contacts of one service, by server id."""
+
+    def __init__(self) -> None:
+        self._contact_by_id: dict[str, Contact] = {}
+
+    def get(self, server_id: str) -> Contact | None:
+        """Return the contact of a server, or None if it is not watched."""
+        return self._contact_by_id.get(server_id)
+
+    def watch(self, server_ids: frozenset[str], now: float) -> None:
+        """Watch exactly these servers."""
+        self._contact_by_id = {
+            server_id: self._contact_by_id.get(server_id, Contact(watched_since=now))
+            for server_id in server_ids
+        }
+
+    def restart_watch(self, now: float) -> None:
+        """Start all suspicion times again, after this process was paused."""
+        self._contact_by_id = {
+            server_id: replace(contact, watched_since=now)
+            for server_id, contact in self._contact_by_id.items()
+        }
+
+    def record_reply(self, server_id: str, reply: ServerReply, now: float) -> None:
+        """Record a response of a server."""
+        contact = self._contact_by_id.get(server_id)
+        if contact is None:
+            return
+        reached_since = contact.reached_since if contact.is_reached(now) else now
+        accepted_version = reply.version if reply.accepted else contact.accepted_version
+        self._contact_by_id[server_id] = replace(
+            contact,
+            reached_at=now,
+            reached_since=reached_since,
+            term=reply.term,
+            basis_ms=reply.now_ms,
+            accepted_version=accepted_version,
+            draining=reply.draining,
+        )
+
+    def record_peer_contact(self, server_id: str, reached_at: float) -> None:
+        """Record that a peer reached the server at ``reached_at`` on this clock."""
+        contact = self._contact_by_id.get(server_id)
+        if contact is not None and reached_at > contact.reached_at:
+            self._contact_by_id[server_id] = replace(contact, reached_at=reached_at)
+
+    def reached_ages(self, now: float) -> tuple[tuple[str, float], ...]:
+        """Return the seconds since the last response of each server reached recently."""
+        return tuple(
+            (server_id, now - contact.reached_at)
+            for server_id, contact in self._contact_by_id.items()
+            if contact.is_reached(now)
+        )
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/moves.py
@@ -0,0 +1,175 @@
+"""Progress of pending moves: which ones may complete, and what the others wait for."""
+
+from collections.abc import Iterator, Mapping, Set
+
+from damasktide.ownership.contacts import Contacts
+from damasktide.ownership.shard_map import (
+    ConfirmerSet,
+    PendingMove,
+    ShardMap,
+    with_settled_confirmers,
+    without_pending,
+)
+from damasktide.ownership.silence import SilenceProof
+
+_ProofKey = tuple[str, int]
+
+
+class MoveProgress:
+    """Collects acknowledgements for the pending moves and confirmer changes of one service.
+
+    Parameters
+    ----------
+    policy
+        Isolation policy of the service.
+    max_deadline_s
+        Longest request deadline where the servers do not check grants, else None.
+    """
+
+    def __init__(self, policy: str, max_deadline_s: float | None) -> None:
+        self._policy = policy
+        self._max_deadline_s = max_deadline_s
+        self._acked_version_by_id: dict[str, int] = {}
+        self._proof_by_key: dict[_ProofKey, SilenceProof] = {}
+        self._settlement_by_key: dict[_ProofKey, SilenceProof] = {}
+
+    def on_new_map(self, shard_map: ShardMap, own_id: str, now: float) -> None:
+        """Take over a map that was adopted at ``now``; this instance acknowledges it."""
+        self._proof_by_key = {
+            key: self._proof_by_key.get(key) or self._new_proof(key, sets, now)
+            for key, sets in _pending_keys(shard_map)
+        }
+        self._settlement_by_key = {
+            key: self._settlement_by_key.get(key) or self._new_proof(key, sets, now)
+            for key, sets in _settlement_keys(shard_map)
+        }
+        self.record_ack(own_id, shard_map.version, now)
+
+    def record_ack(self, instance_id: str, version: int, now: float) -> None:
+        """Record that an instance has adopted ``version`` or newer."""
+        known = self._acked_version_by_id.get(instance_id, 0)
+        self._acked_version_by_id[instance_id] = max(known, version)
+        self._proof_by_key = _acknowledged(self._proof_by_key, instance_id, version, now)
+        self._settlement_by_key = _acknowledged(self._settlement_by_key, instance_id, version, now)
+
+    def missing_acks(self, shard_map: ShardMap, controlled: Set[str]) -> set[str]:
+        """Return the confirmers to be asked for the moves of the controlled servers."""
+        return {
+            instance_id
+            for move in shard_map.pending
+            if move.old_owner in controlled
+            for instance_id in self._missing(self._proof_of(shard_map, move))
+        }
+
+    def missing_settlement_acks(self, shard_map: ShardMap) -> set[str]:
+        """Return the confirmers to be asked so that older confirmer sets can be dropped."""
+        return {
+            instance_id
+            for proof in self._settlement_by_key.values()
+            for instance_id in self._missing(proof)
+        }
+
+    def completed(
+        self, shard_map: ShardMap, controlled: Set[str], contacts: Contacts, now: float
+    ) -> ShardMap | None:
+        """Return the map without the moves that may complete, or None if there are none."""
+        shards = [
+            move.shard
+            for move in shard_map.pending
+            if move.old_owner in controlled
+            and (_is_fenced(move, contacts) or self._is_silent(shard_map, move, now))
+        ]
+        return without_pending(shard_map, shards) if shards else None
+
+    def is_settled(self, shard_map: ShardMap, now: float) -> bool:
+        """Return whether there are older confirmer sets that nobody can use any more."""
+        if len(shard_map.confirmer_sets) < 2:
+            return False
+        return all(proof.complete_at() <= now for proof in self._settlement_by_key.values())
+
+    def settled(self, shard_map: ShardMap) -> ShardMap:
+        """Return the map with only the current confirmer set."""
+        return with_settled_confirmers(shard_map)
+
+    def complete_at_by_shard(self, shard_map: ShardMap, now: float) -> Mapping[int, float]:
+        """Return for each pending shard the time of its silence proof, at the latest."""
+        return {
+            move.shard: self._proof_of(shard_map, move).complete_at() for move in shard_map.pending
+        }
+
+    def _new_proof(
+        self, key: _ProofKey, sets: tuple[ConfirmerSet, ...], now: float
+    ) -> SilenceProof:
+        domain, since_version = key
+        proof = SilenceProof(
+            domain=domain,
+            policy=self._policy,
+            since_version=since_version,
+            durable_at=now,
+            confirmer_sets=sets,
+            max_deadline_s=self._max_deadline_s,
+        ).started()
+        for instance_id, version in self._acked_version_by_id.items():
+            if version >= since_version:
+                proof = proof.with_ack(instance_id, now)
+        return proof
+
+    def _proof_of(self, shard_map: ShardMap, move: PendingMove) -> SilenceProof:
+        return self._proof_by_key[_proof_key(shard_map, move)]
+
+    def _is_silent(self, shard_map: ShardMap, move: PendingMove, now: float) -> bool:
+        return self._proof_of(shard_map, move).complete_at() <= now
+
+    @staticmethod
+    def _missing(proof: SilenceProof) -> frozenset[str]:
+        return frozenset() if proof.blocked_at is not None else proof.missing()
+
+
+def _acknowledged(
+    proof_by_key: Mapping[_ProofKey, SilenceProof], instance_id: str, version: int, now: float
+) -> dict[_ProofKey, SilenceProof]:
+    return {
+        key: proof.with_ack(instance_id, now) if version >= proof.since_version else proof
+        for key, proof in proof_by_key.items()
+    }
+
+
+def _is_fenced(move: PendingMove, contacts: Contacts) -> bool:
+    """Return whether the old owner accepted a grant without the shard and has drained it."""
+    contact = contacts.get(move.old_owner)
+    return (
+        contact is not None
+        and contact.accepted_version >= move.since_version
+        and contact.draining == 0
+    )
+
+
+def _proof_key(shard_map: ShardMap, move: PendingMove) -> _ProofKey:
+    return shard_map.server_by_id()[move.old_owner].domain, move.since_version
+
+
+def _pending_keys(
+    shard_map: ShardMap,
+) -> Iterator[tuple[_ProofKey, tuple[ConfirmerSet, ...]]]:
+    """Yield each needed proof with the confirmer sets that older versions may use."""
+    domain_by_id = {server.server_id: server.domain for server in shard_map.servers}
+    keys = {(domain_by_id[move.old_owner], move.since_version) for move in shard_map.pending}
+    for key in sorted(keys):
+        yield key, tuple(s for s in shard_map.confirmer_sets if s.since_version < key[1])
+
+
+def _settlement_keys(
+    shard_map: ShardMap,
+) -> Iterator[tuple[_ProofKey, tuple[ConfirmerSet, ...]]]:
+    """Yield a proof for each failure domain whose confirmers differ between the sets."""
+    current = shard_map.confirmers
+    older = shard_map.confirmer_sets[:-1]
+    domains = {domain for confirmers in older for domain in confirmers.ids_by_domain}
+    for domain in sorted(domains):
+        changed = tuple(s for s in older if _voters(s, domain) != _voters(current, domain))
+        if changed:
+            yield (domain, current.since_version), changed
+
+
+def _voters(confirmers: ConfirmerSet, domain: str) -> tuple[frozenset[str], frozenset[str]]:
+    return confirmers.own_ids(domain), confirmers.witness_ids(domain)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/roles.py
@@ -0,0 +1,79 @@
+"""Which instance does which duty, computed by each instance from its own view.
+
+No duty needs to be exclusive: the conditional write of the map row decides between two
+instances that both believe they have a duty.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from damasktide.membership.instances import Instance
+from damasktide.ownership.shard_map import ConfirmerSet, OwnerServer
+
+READERS_PER_DOMAIN = 2
+RENEWERS_PER_SERVER = 2
+
+
+def rendezvous(key: str, candidate_ids: Iterable[str]) -> list[str]:
+    """Return the candidates by descending rendezvous hash of ``key``."""
+
+    def weight(candidate_id: str) -> bytes:
+        return blake2b(f"{key}|{candidate_id}".encode(), digest_size=8).digest()
+
+    return sorted(candidate_ids, key=weight, reverse=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Roles:
+    """Duties of the instances that one instance believes to be alive.
+
+    Attributes
+    ----------
+    instance_id, domain
+        The instance that computes the duties, and its failure domain.
+    service
+        Name of the service.
+    alive
+        Instances believed to be alive, itself included.
+    """
+
+    instance_id: str
+    domain: str
+    service: str
+    alive: Sequence[Instance]
+
+    def readers(self) -> list[str]:
+        """Return the instances of this failure domain that read the map row."""
+        ids = self._ids_in(self.domain)
+        return rendezvous(f"reader/{self.service}", ids)[:READERS_PER_DOMAIN]
+
+    def is_placer(self) -> bool:
+        """Return whether this instance plans joins, leaves and balance for the service."""
+        ids = [instance.instance_id for instance in self.alive]
+        return rendezvous(f"placer/{self.service}", ids)[0] == self.instance_id
+
+    def is_confirmer_manager(self) -> bool:
+        """Return whether this instance proposes the confirmers of its failure domain."""
+        ids = self._ids_in(self.domain)
+        return rendezvous(f"confirmers/{self.service}", ids)[0] == self.instance_id
+
+    def renewers(self, server: OwnerServer, confirmers: ConfirmerSet) -> list[str]:
+        """Return the instances that renew ``server``; the first one controls its moves.
+
+        Where no instance of its failure domain is alive, the witness domain steps in, and
+        then any other instance.
+        """
+        ids = self._ids_in(server.domain)
+        if not ids:
+            ids = self._ids_in(confirmers.witness_of(server.domain))
+        if not ids:
+            ids = [instance.instance_id for instance in self.alive]
+        return rendezvous(f"server/{server.server_id}", ids)[:RENEWERS_PER_SERVER]
+
+    def has_instances(self, domain: str) -> bool:
+        """Return whether any instance of ``domain`` is believed to be alive."""
+        return any(instance.domain == domain for instance in self.alive)
+
+    def _ids_in(self, domain: str | None) -> list[str]:
+        return [i.instance_id for i in self.alive if i.domain == domain]
--- a/packages/damasktide/src/damasktide/runtime/documents.py
+++ b/packages/damasktide/src/damasktide/runtime/documents.py
@@ -183,6 +183,10 @@
             self._read.add(key)
             yield key, Section(node, self._findings)
 
+    def field_names(self) -> tuple[str, ...]:
+        """Return the names of the fields."""
+        return tuple(self._node_by_key)
+
     def report_unknown(self) -> None:
         """Give a finding for each field that was not read."""
         for key, node in self._node_by_key.items():
--- /dev/null
+++ b/packages/damasktide/src/damasktide/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Reads and checks the settings of an instance."""
