Add the frozen types and messages of the store slice

Cause: the catalog and ownership slices build on rows with versions and change ids. Ruled out: a row that names only its last change, because a writer whose response was lost could not tell its own write from a conflict once another writer has followed. Change: rows keep their last 16 changes; StoreError says whether a write may have taken effect; a read carries the time at which it was asked.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reads and writes rows of the table service and objects of the object store."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/messages.py
@@ -0,0 +1,45 @@
+"""Messages that the task of the store slice handles, besides :class:`WriteRow`."""
+
+from dataclasses import dataclass
+
+from damasktide.store.rows import WriteRow
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Asks for a consistent read; the reply is ``Result[RowRead, StoreError]``."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRows:
+    """Asks for writes that take effect together or not at all.
+
+    The reply is ``Result[tuple[Row, ...], StoreError]``. All writes carry the same change id.
+    """
+
+    writes: tuple[WriteRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadObject:
+    """Asks for an object by name (SHA-256); the reply is ``Result[bytes, StoreError]``."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class WriteObject:
+    """Asks to store an object; the reply is ``Result[str, StoreError]`` with the name.
+
+    Attributes
+    ----------
+    name
+        SHA-256 of the content in hexadecimal.
+    data
+        The content.
+    """
+
+    name: str
+    data: bytes
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/rows.py
@@ -0,0 +1,136 @@
+"""Rows of the table service and the ways in which a call to the store can fail."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+REMEMBERED_CHANGES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedChange:
+    """A change that a row went through.
+
+    Attributes
+    ----------
+    change_id
+        Id that the writer gave to the change.
+    version
+        Version that the change created.
+    """
+
+    change_id: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A row of the table service.
+
+    Attributes
+    ----------
+    key
+        Name of the row, such as ``configuration``.
+    version
+        Raised by 1 by each write; 0 means that the row is absent.
+    body
+        JSON text.
+    change_id
+        Id of the change that created this version.
+    changes
+        The last changes of the row, oldest first, this version included. They show to a
+        writer whose response was lost whether its write took effect, even when the row was
+        written again in the meantime.
+    """
+
+    key: str
+    version: int
+    body: str
+    change_id: str
+    changes: tuple[AppliedChange, ...] = ()
+
+    @classmethod
+    def absent(cls, key: str) -> "Row":
+        """Return the row that stands for an absent one."""
+        return cls(key, 0, "", "")
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRow:
+    """Asks for a conditional write of one row; the reply is ``Result[Row, StoreError]``.
+
+    Attributes
+    ----------
+    key
+        Name of the row.
+    body
+        New JSON text.
+    based_on
+        Version that the row must have for the write to take effect.
+    change_id
+        Id of the change; a repeat of the same change carries the same id. At most 36
+        characters, the limit of the table service for request tokens.
+    """
+
+    key: str
+    body: str
+    based_on: int
+    change_id: str
+
+    def applied_to(self, before: tuple[AppliedChange, ...]) -> Row:
+        """Return the row that this write creates from a row with the changes ``before``."""
+        version = self.based_on + 1
+        changes = (*before, AppliedChange(self.change_id, version))[-REMEMBERED_CHANGES:]
+        return Row(self.key, version, self.body, self.change_id, changes)
+
+
+class StoreErrorKind(Enum):
+    """Ways in which a call to the store can fail."""
+
+    UNAVAILABLE = "unavailable"
+    """The store was not reached or failed; a write certainly did not take effect."""
+    CONFLICT = "conflict"
+    """Another change came first; the error holds the current row."""
+    UNRESOLVED = "unresolved"
+    """The response to a write was lost and the row could not be read back in time."""
+    NOT_FOUND = "not_found"
+    """The object store has no object of that name."""
+    CORRUPT = "corrupt"
+    """The content of an object does not match its name, or a row could not be decoded."""
+    REJECTED = "rejected"
+    """The store refused the call as malformed."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreError:
+    """A failed call to the store.
+
+    Attributes
+    ----------
+    kind
+        What failed.
+    detail
+        Explanation for logs and operators.
+    current
+        The current row, for a conflict.
+    """
+
+    kind: StoreErrorKind
+    detail: str
+    current: Row | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RowRead:
+    """A row together with the age of the knowledge.
+
+    Attributes
+    ----------
+    row
+        The row; version 0 if it is absent.
+    asked_at
+        Monotonic time in seconds just before the request was sent. The row was current at
+        some time after it, however late the response arrived.
+    """
+
+    row: Row
+    asked_at: float
