Add the store clients, their task and the stand-in of the platform

Cause: rows and objects of the platform must be reached with bounded calls, and a lost response must not turn into a second write or a false conflict. Ruled out: reading back only the last change id (fails once another writer follows); UpdateItem (outside the agreed subset); retries by urllib3 (a repeat must first read the row). Change: a pure read-back state machine, the codec of DynamoDB's JSON protocol, TableClient, ObjectClient, StoreTask, and one HTTP process with table, objects, live list and fault switches.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/platform/server.py
@@ -0,0 +1,96 @@
+"""Serves the stand-in and plays its faults below HTTP."""
+
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from damasktide_standins.platform.app import PlatformApp
+
+SOCKET_KEY = "damasktide.socket"
+WRITE_OPERATIONS = ("PutItem", "TransactWriteItems")
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+class _Handler(WSGIHandler):  # type: ignore[misc]
+    """Gives the application its socket, so that a fault can close it."""
+
+    def get_environ(self) -> Environ:
+        environ: Environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+
+class _FaultyApp:
+    """Applies the present faults to each request, except those that change the faults."""
+
+    def __init__(self, app: PlatformApp) -> None:
+        self._app = app
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == "/faults":
+            return self._respond(environ, start_response)
+        faults = self._app.faults.current
+        gevent.sleep(faults.slow_ms / 1000)
+        if faults.down:
+            return _hang_up(environ, start_response)
+        started: list[tuple[Any, ...]] = []
+        body = list(self._respond(environ, lambda *args: started.append(args)))
+        if _is_applied_write(environ, started) and self._app.faults.take_dropped_answer():
+            return _hang_up(environ, start_response)
+        start_response(*started[-1])
+        return body
+
+    def _respond(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        response: Iterable[bytes] = self._app.bottle(environ, start_response)
+        return response
+
+
+class PlatformServer:
+    """The stand-in as an HTTP server on loopback.
+
+    Parameters
+    ----------
+    port
+        TCP port; 0 takes a free one.
+    app
+        State to serve; a new one if absent.
+    """
+
+    def __init__(self, port: int = 0, app: PlatformApp | None = None) -> None:
+        self.app = app or PlatformApp()
+        self._server = WSGIServer(
+            ("127.0.0.1", port), _FaultyApp(self.app), handler_class=_Handler, log=None
+        )
+
+    @property
+    def url(self) -> str:
+        """Base URL."""
+        return f"http://127.0.0.1:{self._server.server_port}"
+
+    def start(self) -> None:
+        """Listen and serve in the background."""
+        self._server.start()
+
+    def serve_forever(self) -> None:
+        """Listen and serve until the process ends."""
+        self._server.serve_forever()
+
+    def stop(self) -> None:
+        """Close the listener and end all requests at once."""
+        self._server.stop(timeout=0)
+
+
+def _is_applied_write(environ: Environ, started: list[tuple[Any, ...]]) -> bool:
+    operation = environ.get("HTTP_X_AMZ_TARGET", "").rpartition(".")[2]
+    return operation in WRITE_OPERATIONS and started[-1][0].startswith("200")
+
+
+def _hang_up(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
+    start_response("503 Service Unavailable", [("Connection", "close")])
+    return []
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/readback.py
@@ -0,0 +1,139 @@
+"""Decides what a writer does next until it knows whether its write took effect.
+
+The rule: read the row. If its changes name ours, the write took effect. If its version is
+still the one that the write was based on, send the write. Otherwise another change came first.
+The same rule holds before the first attempt, which makes a repeat of a change harmless.
+"""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from damasktide.store.rows import AppliedChange, Row, StoreError, StoreErrorKind, WriteRow
+
+FIRST_DELAY_S = 0.05
+LONGEST_DELAY_S = 0.4
+
+WriteResult = Result[tuple[Row, ...], StoreError]
+
+
+class WriteReply(Enum):
+    """What the response to a write says."""
+
+    ACCEPTED = "accepted"
+    CONDITION_FAILED = "condition_failed"
+    NOT_APPLIED = "not_applied"
+    LOST = "lost"
+    REJECTED = "rejected"
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBack:
+    """Read all rows of the write after ``delay_s`` seconds."""
+
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendWrites:
+    """Send the conditional write that creates ``rows``."""
+
+    rows: tuple[Row, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The outcome is known, or the time is over."""
+
+    result: WriteResult
+
+
+Step = ReadBack | SendWrites | Finished
+
+
+@dataclass(frozen=True, slots=True)
+class WriteProgress:
+    """A write of one or more rows that take effect together.
+
+    Attributes
+    ----------
+    writes
+        The writes; all carry the same change id.
+    deadline
+        Monotonic time in seconds after which nothing more is sent.
+    in_doubt
+        Whether a write was sent whose response was lost.
+    failures
+        Calls that brought no decision, for the backoff.
+    sent_rows
+        Rows that the last sent write creates.
+    """
+
+    writes: tuple[WriteRow, ...]
+    deadline: float
+    in_doubt: bool = False
+    failures: int = 0
+    sent_rows: tuple[Row, ...] = ()
+
+    def on_rows(self, rows: tuple[Row, ...]) -> tuple["WriteProgress", Step]:
+        """Judge the rows that were read, in the order of the writes."""
+        pairs = tuple(zip(self.writes, rows, strict=True))
+        # The writes are atomic, so one row that names the change speaks for all of them.
+        if any(_applied_version(write, row) is not None for write, row in pairs):
+            return self, Finished(Success(tuple(_applied_row(*pair) for pair in pairs)))
+        for write, row in pairs:
+            if row.version != write.based_on:
+                return self, Finished(Failure(self._lost_race(write, row)))
+        new_rows = tuple(write.applied_to(row.changes) for write, row in pairs)
+        return replace(self, sent_rows=new_rows), SendWrites(new_rows)
+
+    def on_read_failure(self, error: StoreError, now: float) -> tuple["WriteProgress", Step]:
+        """Read again while a write is in doubt; otherwise nothing was written."""
+        if not self.in_doubt:
+            return self, Finished(Failure(error))
+        return self._read_back(error.detail, now)
+
+    def on_reply(self, reply: WriteReply, detail: str, now: float) -> tuple["WriteProgress", Step]:
+        """Judge the response to a write, or its absence."""
+        if reply is WriteReply.ACCEPTED:
+            return self, Finished(Success(self.sent_rows))
+        if reply is WriteReply.LOST:
+            return replace(self, in_doubt=True)._read_back(detail, now)
+        if reply is WriteReply.CONDITION_FAILED or self.in_doubt:
+            return self._read_back(detail, now)
+        rejected = reply is WriteReply.REJECTED
+        kind = StoreErrorKind.REJECTED if rejected else StoreErrorKind.UNAVAILABLE
+        return self, Finished(Failure(StoreError(kind, detail)))
+
+    def _read_back(self, detail: str, now: float) -> tuple["WriteProgress", Step]:
+        delay_s = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**self.failures)
+        if now + delay_s >= self.deadline:
+            return self, Finished(Failure(self._out_of_time(detail)))
+        return replace(self, failures=self.failures + 1), ReadBack(delay_s)
+
+    def _out_of_time(self, detail: str) -> StoreError:
+        kind = StoreErrorKind.UNRESOLVED if self.in_doubt else StoreErrorKind.UNAVAILABLE
+        return StoreError(kind, detail)
+
+    def _lost_race(self, write: WriteRow, row: Row) -> StoreError:
+        if self.in_doubt and not _covers(row.changes, write.based_on + 1):
+            detail = f"row {write.key}: too many later changes to tell whether ours took effect"
+            return StoreError(StoreErrorKind.UNRESOLVED, detail, row)
+        detail = f"row {write.key} is at version {row.version}, not at {write.based_on}"
+        return StoreError(StoreErrorKind.CONFLICT, detail, row)
+
+
+def _applied_version(write: WriteRow, row: Row) -> int | None:
+    versions = (c.version for c in row.changes if c.change_id == write.change_id)
+    return next(versions, None)
+
+
+def _applied_row(write: WriteRow, row: Row) -> Row:
+    version = _applied_version(write, row) or write.based_on + 1
+    changes = tuple(change for change in row.changes if change.version <= version)
+    return Row(write.key, version, write.body, write.change_id, changes)
+
+
+def _covers(changes: tuple[AppliedChange, ...], version: int) -> bool:
+    return any(change.version <= version for change in changes)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/store_task.py
@@ -0,0 +1,69 @@
+"""The task that owns connections to the store."""
+
+from collections.abc import Callable
+
+from returns.result import Result
+
+from damasktide.runtime.clock import Clock
+from damasktide.runtime.task import Task, TaskFailed, handles
+from damasktide.store.endpoints import StoreEndpoints
+from damasktide.store.messages import ReadObject, ReadRow, WriteObject, WriteRows
+from damasktide.store.object_client import ObjectClient
+from damasktide.store.readback import WriteResult
+from damasktide.store.rows import Row, RowRead, StoreError, WriteRow
+from damasktide.store.table_client import TableClient
+
+
+class StoreTask(Task):
+    """Handles one call to the store after the other.
+
+    A call to a slow store delays those queued behind it, so a reader with a tight period has
+    a StoreTask of its own.
+
+    Parameters
+    ----------
+    endpoints
+        Where the store is reached.
+    name
+        Name used in logs.
+    clock
+        Source of the times in seconds.
+    on_failure
+        Called when the task ends because of an error.
+    """
+
+    def __init__(
+        self,
+        endpoints: StoreEndpoints,
+        name: str = "store",
+        clock: Clock | None = None,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__(name, on_failure)
+        self._table = TableClient(endpoints, clock)
+        self._objects = ObjectClient(endpoints)
+
+    @handles(ReadRow)
+    def _read_row(self, message: ReadRow) -> Result[RowRead, StoreError]:
+        return self._table.read(message.key)
+
+    @handles(WriteRow)
+    def _write_row(self, message: WriteRow) -> Result[Row, StoreError]:
+        return self._table.write(message.key, message.body, message.based_on, message.change_id)
+
+    @handles(WriteRows)
+    def _write_rows(self, message: WriteRows) -> WriteResult:
+        return self._table.write_rows(message.writes)
+
+    @handles(ReadObject)
+    def _read_object(self, message: ReadObject) -> Result[bytes, StoreError]:
+        return self._objects.get(message.name)
+
+    @handles(WriteObject)
+    def _write_object(self, message: WriteObject) -> Result[str, StoreError]:
+        return self._objects.put(message.name, message.data)
+
+    def on_stop(self) -> None:
+        """Close all connections."""
+        self._table.close()
+        self._objects.close()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/table_codec.py
@@ -0,0 +1,125 @@
+"""DynamoDB's JSON protocol: requests as bytes, responses as rows or as the fate of a write."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from damasktide.store.readback import WriteReply
+from damasktide.store.rows import AppliedChange, Row
+from damasktide.store.transport import HttpReply
+
+TARGET_PREFIX = "DynamoDB_20120810."
+CONTENT_TYPE = "application/x-amz-json-1.0"
+
+# These errors say that nothing was written because of other requests, so reading again shows
+# whether the write still has a chance.
+_CONTENTION = {
+    "ConditionalCheckFailedException",
+    "TransactionCanceledException",
+    "TransactionConflictException",
+}
+_NOT_APPLIED = {
+    "ProvisionedThroughputExceededException",
+    "RequestLimitExceeded",
+    "ThrottlingException",
+    "ResourceNotFoundException",
+}
+
+
+def headers(operation: str) -> dict[str, str]:
+    """Return the headers that select an operation."""
+    return {"Content-Type": CONTENT_TYPE, "X-Amz-Target": TARGET_PREFIX + operation}
+
+
+def encode_get(table: str, key: str) -> bytes:
+    """Encode a consistent GetItem."""
+    request = {"TableName": table, "Key": {"row_key": {"S": key}}, "ConsistentRead": True}
+    return json.dumps(request).encode()
+
+
+def encode_put(table: str, row: Row) -> bytes:
+    """Encode a PutItem that creates ``row`` if its predecessor is current."""
+    return json.dumps(_conditional_put(table, row)).encode()
+
+
+def encode_transaction(table: str, rows: tuple[Row, ...], token: str) -> bytes:
+    """Encode a TransactWriteItems that creates all ``rows`` or none."""
+    items = [{"Put": _conditional_put(table, row)} for row in rows]
+    return json.dumps({"TransactItems": items, "ClientRequestToken": token}).encode()
+
+
+def decode_row(key: str, body: bytes) -> Row:
+    """Decode the response to GetItem.
+
+    Raises
+    ------
+    ValueError
+        If the item lacks an attribute or has one of another type.
+    """
+    try:
+        item = json.loads(body).get("Item")
+        return _row_of(key, item) if item else Row.absent(key)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"row {key} could not be decoded: {error!r}") from error
+
+
+def decode_write(reply: HttpReply) -> tuple[WriteReply, str]:
+    """Return what a response says about a write, with an explanation."""
+    if reply.status == 200:
+        return WriteReply.ACCEPTED, "accepted"
+    error = error_type(reply)
+    detail = f"the table service responded {reply.status} {error}"
+    if reply.status >= 500 or error == "TransactionInProgressException":
+        return WriteReply.LOST, detail
+    if error in _CONTENTION:
+        return WriteReply.CONDITION_FAILED, detail
+    if error in _NOT_APPLIED:
+        return WriteReply.NOT_APPLIED, detail
+    return WriteReply.REJECTED, detail
+
+
+def error_type(reply: HttpReply) -> str:
+    """Return the name of the error in a response, or an empty text."""
+    try:
+        content = json.loads(reply.body)
+    except ValueError:
+        return ""
+    kind = content.get("__type", "") if isinstance(content, dict) else ""
+    return str(kind).rpartition("#")[2]
+
+
+def _conditional_put(table: str, row: Row) -> dict[str, Any]:
+    put: dict[str, Any] = {
+        "TableName": table,
+        "Item": _item_of(row),
+        "ExpressionAttributeNames": {"#version": "version"},
+    }
+    if row.version == 1:
+        put["ConditionExpression"] = "attribute_not_exists(#version)"
+    else:
+        put["ConditionExpression"] = "#version = :based_on"
+        put["ExpressionAttributeValues"] = {":based_on": {"N": str(row.version - 1)}}
+    return put
+
+
+def _item_of(row: Row) -> dict[str, Any]:
+    changes = [
+        {"M": {"change_id": {"S": change.change_id}, "version": {"N": str(change.version)}}}
+        for change in row.changes
+    ]
+    return {
+        "row_key": {"S": row.key},
+        "version": {"N": str(row.version)},
+        "body": {"S": row.body},
+        "change_id": {"S": row.change_id},
+        "changes": {"L": changes},
+    }
+
+
+def _row_of(key: str, item: Mapping[str, Any]) -> Row:
+    changes = tuple(
+        AppliedChange(entry["M"]["change_id"]["S"], int(entry["M"]["version"]["N"]))
+        for entry in item["changes"]["L"]
+    )
+    version = int(item["version"]["N"])
+    return Row(key, version, item["body"]["S"], item["change_id"]["S"], changes)
