Add balancing policies, ejection, cold-start ramp and locality

Cause: forwarding needs a target for each request, with typed reasons when there is none. Ruled out: trust in load reports alone (they lag) and a share of at least one slot for each instance (10 instances would then use 10 of 6 slots).

--- /dev/null
+++ b/packages/damasktide/src/damasktide/balancing/outliers.py
@@ -0,0 +1,91 @@
+"""Ejection of targets that fail or are far slower than their peers."""
+
+from collections.abc import Iterable, Sequence
+from statistics import median
+
+from damasktide.balancing.state import TargetState
+
+MAX_CONSECUTIVE_FAILURES = 5
+MAX_CONSECUTIVE_SLOW = 3
+EJECT_LATENCY_FACTOR = 5.0
+SLOW_LATENCY_FACTOR = 2.0
+MAX_EJECTED_FRACTION = 0.25
+BASE_EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+
+
+def median_latency_s(states: Iterable[TargetState]) -> float:
+    """Return the median of the measured decayed latencies in seconds, 0 if there are none."""
+    measured = (state.measured_latency_s for state in states)
+    latencies = [latency_s for latency_s in measured if latency_s is not None]
+    return median(latencies) if latencies else 0.0
+
+
+def is_slow(state: TargetState, now: float, median_s: float) -> bool:
+    """Return whether the target is clearly slower than the median."""
+    return median_s > 0.0 and state.latency_s(now, median_s) > SLOW_LATENCY_FACTOR * median_s
+
+
+def is_far_above(latency_s: float, median_s: float) -> bool:
+    """Return whether one response was so slow that it counts towards ejection."""
+    return median_s > 0.0 and latency_s > EJECT_LATENCY_FACTOR * median_s
+
+
+class OutlierDetector:
+    """Ejects outliers for a time that doubles with each ejection.
+
+    Ejection never takes more than a quarter of the targets, because when most targets look
+    bad the cause is rarely in the targets and the rest could not carry the load.
+
+    Parameters
+    ----------
+    max_fraction
+        Largest fraction of the targets that may be ejected at a time.
+    """
+
+    def __init__(self, max_fraction: float = MAX_EJECTED_FRACTION) -> None:
+        self._max_fraction = max_fraction
+
+    def review(self, states: Sequence[TargetState], now: float, median_s: float) -> None:
+        """Re-admit targets whose time is over and eject outliers, worst first."""
+        self._readmit(states, now)
+        room = int(len(states) * self._max_fraction)
+        room -= sum(state.ejected_until is not None for state in states)
+        if room <= 0:
+            return
+        outliers = [state for state in states if self._is_outlier(state)]
+        outliers.sort(key=lambda state: _badness(state, now, median_s), reverse=True)
+        for state in outliers[:room]:
+            self._eject(state, now)
+
+    @staticmethod
+    def _readmit(states: Iterable[TargetState], now: float) -> None:
+        for state in states:
+            if state.ejected_until is None and now - state.readmitted_at > MAX_EJECTION_S:
+                state.ejections = 0
+            if state.ejected_until is not None and now >= state.ejected_until:
+                state.ejected_until = None
+                state.readmitted_at = now
+                state.consecutive_slow = 0
+                # One more failure ejects again, so a dead target costs one call per period.
+                state.consecutive_failures = min(
+                    state.consecutive_failures, MAX_CONSECUTIVE_FAILURES - 1
+                )
+
+    @staticmethod
+    def _is_outlier(state: TargetState) -> bool:
+        if state.ejected_until is not None:
+            return False
+        return (
+            state.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+            or state.consecutive_slow >= MAX_CONSECUTIVE_SLOW
+        )
+
+    @staticmethod
+    def _eject(state: TargetState, now: float) -> None:
+        state.ejected_until = now + min(MAX_EJECTION_S, BASE_EJECTION_S * 2.0**state.ejections)
+        state.ejections = min(state.ejections + 1, 10)
+
+
+def _badness(state: TargetState, now: float, median_s: float) -> tuple[int, float]:
+    return state.consecutive_failures, state.latency_s(now, median_s)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/balancing/ramp.py
@@ -0,0 +1,57 @@
+"""The cold-start ramp of a target."""
+
+RAMP_S = 10.0
+RESET_MEMORY_S = 2.0
+SLOW_FACTOR = 3.0
+
+
+class ColdStartRamp:
+    """Grows the limit of a target from 1 slot to all slots after a cold start.
+
+    A cold start shows as a new boot id. Boot ids can arrive late, so a reset followed by a
+    response far slower than the median is taken as one too.
+    """
+
+    __slots__ = ("_boot_id", "_reset_at", "_started_at")
+
+    def __init__(self) -> None:
+        self._boot_id: str | None = None
+        self._started_at: float | None = None
+        self._reset_at: float | None = None
+
+    def start(self, now: float) -> None:
+        """Begin the ramp at ``now``."""
+        self._started_at = now
+        self._reset_at = None
+
+    def on_boot(self, now: float, boot_id: str) -> bool:
+        """Take in a boot id; return whether it started the ramp."""
+        known, self._boot_id = self._boot_id, boot_id
+        if known is None or known == boot_id:
+            return False
+        self.start(now)
+        return True
+
+    def on_reset(self, now: float) -> None:
+        """Take in a connection reset."""
+        self._reset_at = now
+
+    def on_latency(self, now: float, latency_s: float, median_s: float) -> bool:
+        """Take in the latency of a response; return whether it started the ramp."""
+        if self._reset_at is None or now - self._reset_at > RESET_MEMORY_S:
+            return False
+        if latency_s <= SLOW_FACTOR * median_s or median_s <= 0.0 or self.is_active(now):
+            return False
+        self.start(now)
+        return True
+
+    def is_active(self, now: float) -> bool:
+        """Return whether the target is still in its ramp."""
+        return self._started_at is not None and now < self._started_at + RAMP_S
+
+    def limit(self, now: float, slots: int) -> int:
+        """Return how many of ``slots`` may be in use at ``now`` by all instances."""
+        if self._started_at is None or now >= self._started_at + RAMP_S:
+            return slots
+        elapsed = max(0.0, now - self._started_at)
+        return min(slots, 1 + int((slots - 1) * elapsed / RAMP_S))
--- /dev/null
+++ b/packages/damasktide/src/damasktide/balancing/task.py
@@ -0,0 +1,101 @@
+"""The task that owns the balancer of one service."""
+
+from collections.abc import Callable
+from random import Random
+
+from damasktide.balancing.balancer import Balancer
+from damasktide.balancing.locality import LinkBudget, Locality
+from damasktide.balancing.messages import (
+    AskStatus,
+    BalancerStatus,
+    BootSeen,
+    Done,
+    LoadReported,
+    NoPick,
+    Pick,
+    Picked,
+    SharesChanged,
+    TargetsChanged,
+)
+from damasktide.balancing.policies import balancing_policies
+from damasktide.runtime.clock import Clock, MonotonicClock
+from damasktide.runtime.task import Task, TaskFailed, every, handles
+
+REFRESH_S = 0.1
+
+
+class BalancerTask(Task):
+    """Owns the balancer of one service.
+
+    Parameters
+    ----------
+    service
+        Service whose targets it chooses.
+    locality
+        Where this instance stands.
+    policy
+        Key in the registry of balancing policies.
+    link_bytes_per_s
+        This instance's share of the link between regions in bytes per second.
+    rng
+        Source of randomness.
+    clock
+        Source of time.
+    on_status
+        Called with a snapshot at every refresh; it must not block.
+    on_failure
+        Called when a handler raises outside an ``ask``.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        locality: Locality,
+        policy: str,
+        link_bytes_per_s: float,
+        rng: Random | None = None,
+        clock: Clock | None = None,
+        on_status: Callable[[BalancerStatus], None] | None = None,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__(f"balancer-{service}", on_failure)
+        self._clock = clock or MonotonicClock()
+        self._on_status = on_status
+        link = LinkBudget(link_bytes_per_s, self._clock.now())
+        chooser = balancing_policies.get(policy)(rng or Random())
+        self._balancer = Balancer(locality, chooser, link)
+
+    @every(REFRESH_S)
+    def _refresh(self) -> None:
+        now = self._clock.now()
+        self._balancer.refresh(now)
+        if self._on_status is not None:
+            self._on_status(self._balancer.status(now))
+
+    @handles(TargetsChanged)
+    def _set_targets(self, message: TargetsChanged) -> None:
+        self._balancer.set_targets(self._clock.now(), message.targets)
+
+    @handles(SharesChanged)
+    def _set_shares(self, message: SharesChanged) -> None:
+        self._balancer.set_shares(self._clock.now(), message)
+
+    @handles(Pick)
+    def _pick(self, message: Pick) -> Picked | NoPick:
+        return self._balancer.pick(self._clock.now(), message)
+
+    @handles(Done)
+    def _finish(self, message: Done) -> None:
+        self._balancer.finish(self._clock.now(), message)
+
+    @handles(LoadReported)
+    def _report_load(self, message: LoadReported) -> None:
+        self._balancer.report_load(self._clock.now(), message)
+
+    @handles(BootSeen)
+    def _see_boot(self, message: BootSeen) -> None:
+        self._balancer.see_boot(self._clock.now(), message.server_id, message.boot_id)
+
+    @handles(AskStatus)
+    def _status(self, message: AskStatus) -> BalancerStatus:
+        return self._balancer.status(self._clock.now())
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Sends requests to targets and returns whole responses."""
