Add the ownership task and its messages between instances

Cause: the ownership decisions need sockets, the table and peers. Ruled out: calls inside the decisions, which could not be stepped without sockets. Change: a task per service steps the decisions; a registry maps each effect to the way it is carried out.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/task.py
@@ -0,0 +1,213 @@
+"""The task that owns the ownership decisions of one service."""
+
+from collections.abc import Callable
+from typing import Any
+
+from gevent.pool import Pool
+from loguru import logger
+
+from damasktide.ownership.constants import RENEW_INTERVAL_S
+from damasktide.ownership.effects import (
+    AskAdopt,
+    AskConfirm,
+    ConfirmReply,
+    Effect,
+    QueryServer,
+    SendGrant,
+    WriteMap,
+)
+from damasktide.ownership.executor import ExecutorContext, executors
+from damasktide.ownership.messages import (
+    Adopted,
+    AdoptRequested,
+    Confirmed,
+    ConfirmRequested,
+    EffectFailed,
+    ExplainRequested,
+    Explanation,
+    MapWritten,
+    OwnershipStatus,
+    OwnerSnapshot,
+    ServerAnswered,
+    StatusRequested,
+    SurroundingsChanged,
+    TableRead,
+)
+from damasktide.ownership.service_ownership import OwnershipSettings, ServiceOwnership
+from damasktide.ownership.shard_map import ShardMap
+from damasktide.runtime.clock import Clock
+from damasktide.runtime.published import Published
+from damasktide.runtime.task import Task, every, handles
+
+_MAX_OPEN_EFFECTS = 256
+
+
+class OwnershipTask(Task):
+    """Steps the decisions and carries out their effects in greenlets of its own.
+
+    Parameters
+    ----------
+    settings
+        The instance and the service.
+    context
+        What the effects need.
+    snapshot
+        Receives the prepared map after each change.
+    on_boot
+        Called with server id and boot id after each exchange with a backend server.
+    """
+
+    def __init__(
+        self,
+        settings: OwnershipSettings,
+        context: ExecutorContext,
+        snapshot: Published[OwnerSnapshot],
+        on_boot: Callable[[str, str], None] | None = None,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(f"ownership/{settings.service}", **kwargs)
+        self._settings = settings
+        self._decisions = ServiceOwnership(settings)
+        self._context = context
+        self._snapshot = snapshot
+        self._on_boot = on_boot
+        self._clock: Clock = context.clock
+        self._workers = Pool(_MAX_OPEN_EFFECTS)
+        self._open_targets: set[tuple[type, str]] = set()
+
+    def on_stop(self) -> None:
+        """End the exchanges that are still open."""
+        self._workers.kill(block=False)
+
+    @every(RENEW_INTERVAL_S)
+    def _tick(self) -> None:
+        for effect in self._decisions.on_tick(self._clock.now()):
+            self._carry_out(effect)
+        self._publish()
+
+    @handles(SurroundingsChanged)
+    def _update_surroundings(self, message: SurroundingsChanged) -> None:
+        self._decisions.update_surroundings(message.surroundings)
+
+    @handles(ConfirmRequested)
+    def _confirm(self, message: ConfirmRequested) -> ConfirmReply:
+        return self._decisions.on_confirm_request(self._clock.now())
+
+    @handles(AdoptRequested)
+    def _adopt(self, message: AdoptRequested) -> int:
+        version = self._decisions.on_adopt_request(message.shard_map, self._clock.now())
+        self._publish()
+        return version
+
+    @handles(TableRead)
+    def _take_table_read(self, message: TableRead) -> None:
+        self._close(message.effect)
+        if message.is_answered:
+            now = self._clock.now()
+            self._decisions.on_table_read(message.shard_map, message.asked_at, now)
+            self._publish()
+
+    @handles(MapWritten)
+    def _take_write(self, message: MapWritten) -> None:
+        self._close(message.effect)
+        self._decisions.on_write_result(message.shard_map, self._clock.now())
+        self._publish()
+
+    @handles(Confirmed)
+    def _take_confirmation(self, message: Confirmed) -> None:
+        self._close(message.effect)
+        if message.reply is not None:
+            self._decisions.on_confirm_reply(message.reply, message.asked_at)
+
+    @handles(Adopted)
+    def _take_acknowledgement(self, message: Adopted) -> None:
+        self._close(message.effect)
+        if message.version is not None:
+            now = self._clock.now()
+            self._decisions.on_adopt_reply(message.instance_id, message.version, now)
+
+    @handles(ServerAnswered)
+    def _take_server_reply(self, message: ServerAnswered) -> None:
+        self._close(message.effect)
+        if message.reply is None:
+            return
+        self._decisions.on_server_reply(message.server_id, message.reply, self._clock.now())
+        if self._on_boot is not None:
+            self._on_boot(message.server_id, message.reply.boot_id)
+
+    @handles(EffectFailed)
+    def _take_failure(self, message: EffectFailed) -> None:
+        self._close(message.effect)
+        if isinstance(message.effect, WriteMap):
+            self._decisions.on_write_result(None, self._clock.now())
+
+    @handles(ExplainRequested)
+    def _explain(self, message: ExplainRequested) -> Explanation:
+        now = self._clock.now()
+        shard_map = self._decisions.shard_map
+        right_s = self._decisions.right_valid_until(self._settings.domain) - now
+        if shard_map is None:
+            return Explanation(0, None, None, None, right_s)
+        pending = shard_map.pending_by_shard().get(message.shard)
+        complete_at = self._decisions.waiting_until(now).get(message.shard)
+        return Explanation(
+            version=shard_map.version,
+            owner=shard_map.owner_of(message.shard),
+            pending=pending,
+            waits_s=None if complete_at is None else complete_at - now,
+            right_s=right_s,
+        )
+
+    @handles(StatusRequested)
+    def _status(self, message: StatusRequested) -> OwnershipStatus:
+        shard_map = self._decisions.shard_map
+        right_s = self._decisions.right_valid_until(self._settings.domain) - self._clock.now()
+        if shard_map is None:
+            return OwnershipStatus(0, right_s=right_s)
+        shards_by_server = shard_map.granted_shards_by_server()
+        return OwnershipStatus(
+            version=shard_map.version,
+            shards_by_server={name: len(shards) for name, shards in shards_by_server.items()},
+            pending=len(shard_map.pending),
+            right_s=right_s,
+        )
+
+    def _carry_out(self, effect: Effect) -> None:
+        """Start an effect unless the same exchange is still open."""
+        target = _target_of(effect)
+        if target in self._open_targets or self._workers.full():
+            return
+        self._open_targets.add(target)
+        self._workers.spawn(self._run_effect, effect)
+
+    def _run_effect(self, effect: Effect) -> None:
+        try:
+            self.tell(executors.get(type(effect))(self._context, effect))
+        except Exception as error:
+            logger.bind(task=self.name).exception("effect failed")
+            self.tell(EffectFailed(effect, str(error)))
+
+    def _close(self, effect: Effect) -> None:
+        self._open_targets.discard(_target_of(effect))
+
+    def _publish(self) -> None:
+        shard_map = self._decisions.shard_map
+        if shard_map is not None and shard_map is not self._snapshot.value.shard_map:
+            self._snapshot.publish(_snapshot_of(shard_map))
+
+
+def _snapshot_of(shard_map: ShardMap) -> OwnerSnapshot:
+    pending = shard_map.pending_by_shard()
+    owners = tuple(
+        None if index < 0 or shard in pending else shard_map.servers[index]
+        for shard, index in enumerate(shard_map.owners)
+    )
+    return OwnerSnapshot(shard_map, owners)
+
+
+def _target_of(effect: Effect) -> tuple[type, str]:
+    if isinstance(effect, AskConfirm | AskAdopt):
+        return type(effect), effect.instance_id
+    if isinstance(effect, QueryServer | SendGrant):
+        return SendGrant, effect.server.server_id
+    return type(effect), ""
