--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-in backend server."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
@@ -0,0 +1,147 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import gevent
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from damasktide_standins.backend_server.execution import ServerSettings
+from damasktide_standins.backend_server.server import BackendServer
+
+
+class ServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.log = Path(directory.name) / "log"
+        self.http = urllib3.PoolManager(maxsize=20, retries=False, timeout=3)
+        self.addCleanup(self.http.clear)
+
+    def serve(self, **settings: Any) -> str:
+        server = BackendServer(ServerSettings("s1", "desk", **settings), log_file=self.log)
+        server.start()
+        self.addCleanup(server.stop)
+        return f"http://127.0.0.1:{server.port}"
+
+    def grant(self, base: str, shards: list[int], ttl_ms: int = 2000) -> None:
+        state = self.http.request("GET", f"{base}/damasktide/grants/desk").json()
+        grant = {"service": "desk", "version": 1, "shards": shards, "ttl_ms": ttl_ms}
+        grant |= {"term": state["term"], "basis_ms": state["now_ms"]}
+        answer = self.http.request("POST", f"{base}/damasktide/grants", json=grant)
+        self.assertEqual(answer.status, 200, answer.data)
+
+    def book(self, base: str, request_id: str = "r1", **headers: str) -> Any:
+        headers = {"Idempotency-Key": request_id, "Damasktide-Shard": "4"} | headers
+        return self.http.request("POST", f"{base}/desk/book/k1", headers=headers, body=b"x")
+
+    def executions(self) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
+
+    def test_keyed_request_runs_only_under_a_current_grant(self) -> None:
+        """Guards against a server that runs a request for a key it doesn't own."""
+        base = self.serve()
+        refused = self.book(base)
+        self.assertEqual((refused.status, refused.headers["Damasktide-Not-Run"]), (409, "1"))
+        self.grant(base, [4])
+        answer = self.book(base, "r2").json()
+        self.assertEqual((answer["request_id"], answer["key"]), ("r2", "k1"))
+        self.assertEqual([run["request_id"] for run in self.executions()], ["r2"])
+
+    def test_unchecked_server_runs_any_request(self) -> None:
+        """Guards against tests of unchecked services that pass because of a check."""
+        self.assertEqual(self.book(self.serve(checked=False)).status, 200)
+
+    def test_run_that_outlives_its_grant_is_cut(self) -> None:
+        """Guards against an effect after another server may own the key."""
+        base = self.serve(service_time_ms=300)
+        self.grant(base, [4], ttl_ms=100)
+        self.assertEqual(self.book(base).status, 500)
+        (run,) = self.executions()
+        self.assertEqual(run["ending"], "cut")
+        self.assertLess(run["end"] - run["start"], 0.2)
+
+    def test_load_beyond_slots_and_queue_is_shed(self) -> None:
+        """Guards against a stand-in that never overloads."""
+        base = self.serve(checked=False, slots=2, service_time_ms=50)
+        jobs = [gevent.spawn(self.book, base, f"r{number}") for number in range(6)]
+        gevent.joinall(jobs)
+        statuses = sorted(job.value.status for job in jobs)
+        self.assertEqual(statuses, [200, 200, 200, 200, 503, 503])
+        self.assertEqual(len(self.executions()), 4)
+
+    def test_deadline_that_passes_in_the_queue_means_not_run(self) -> None:
+        """Guards against work for a caller that has given up."""
+        base = self.serve(checked=False, slots=1, service_time_ms=60)
+        first = gevent.spawn(self.book, base, "r1")
+        gevent.sleep(0.02)
+        late = self.book(base, "r2", **{"Damasktide-Deadline-Ms": "10"})
+        self.assertEqual((late.status, late.headers["Damasktide-Not-Run"]), (504, "1"))
+        first.join()
+        self.assertEqual([run["request_id"] for run in self.executions()], ["r1"])
+
+    def test_cancelled_request_has_no_effect(self) -> None:
+        """Guards against losing hedged calls that occupy a slot to their end."""
+        base = self.serve(checked=False, service_time_ms=500)
+        job = gevent.spawn(self.book, base, "r1")
+        gevent.sleep(0.05)
+        answer = self.http.request("DELETE", f"{base}/damasktide/requests/r1").json()
+        self.assertEqual(answer, {"cancelled": "running"})
+        self.assertEqual(job.get(timeout=0.2).status, 500)
+        self.assertEqual(self.executions()[0]["ending"], "cancelled")
+
+    def test_reset_and_truncation_are_seen_by_the_client(self) -> None:
+        """Guards against fault tests that pass because the fault does nothing."""
+        base = self.serve(checked=False)
+        cases = {"reset": {"count": 1, "ran": False}, "truncate": {"count": 1}}
+        for fault, parameters in cases.items():
+            self.http.request("POST", f"{base}/faults/{fault}", json=parameters)
+            with self.assertRaises(HTTPError, msg=fault):
+                self.book(base, fault)
+        self.http.request("POST", f"{base}/faults/reset", json={"count": 1, "ran": True})
+        with self.assertRaises(HTTPError):
+            self.book(base, "ran")
+        self.assertEqual(self.book(base, "after").status, 200)
+        ids = [run["request_id"] for run in self.executions()]
+        self.assertEqual(ids, ["truncate", "ran", "after"])
+
+    def test_cold_start_voids_the_grant_and_collapses_under_load(self) -> None:
+        """Guards against a cold start that the router can't notice or overload."""
+        base = self.serve(service_time_ms=20)
+        self.grant(base, [4])
+        before = self.http.request("GET", f"{base}/damasktide/load").json()["boot_id"]
+        self.http.request("POST", f"{base}/faults/cold_start", json={"for_s": 5})
+        self.assertEqual(self.book(base).status, 409)
+        cold = self.http.request("GET", f"{base}/damasktide/load").json()["boot_id"]
+        self.grant(base, [4])
+        gevent.joinall([gevent.spawn(self.book, base, f"r{number}") for number in range(13)])
+        after = self.http.request("GET", f"{base}/damasktide/load").json()["boot_id"]
+        self.assertEqual(len({before, cold, after}), 3)
+
+    def test_connections_beyond_the_limit_are_reset(self) -> None:
+        """Guards against a limit of connections that is never met in tests."""
+        base = self.serve(checked=False, connections=1)
+        self.assertEqual(self.book(base).status, 200)
+        with self.assertRaises(HTTPError):
+            urllib3.PoolManager(retries=False).request("GET", f"{base}/damasktide/load")
+
+    def test_load_report_lags(self) -> None:
+        """Guards against tests of stale reports that get fresh ones."""
+        base = self.serve(checked=False, service_time_ms=400)
+        self.http.request("POST", f"{base}/faults/lag", json={"seconds": 0.15})
+        self.book(base)
+        gevent.sleep(0.2)
+        gevent.spawn(self.book, base, "r2")
+        gevent.sleep(0.05)
+        self.assertEqual(self.load(base), 0)
+        gevent.sleep(0.15)
+        self.assertEqual(self.load(base), 1)
+
+    def load(self, base: str) -> int:
+        return int(self.http.request("GET", f"{base}/damasktide/load").json()["in_flight"])
+
+
+if __name__ == "__main__":
+    unittest.main()
