Add the stand-in load balancer

Cause: tests of drain and of the demo need the platform's load balancer, which learns of readiness with a delay. Ruled out: a module with late monkey patching; a package with __main__.py patches first, as the other binaries do. Change: a TCP proxy with round robin over the instances whose /readyz answers 200, probed every 0.25 s. Conclusion: formatter, linter, type check and tests pass.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of the platform's load balancer."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/balancer/__main__.py
@@ -0,0 +1,32 @@
+"""Runs the stand-in load balancer until SIGTERM."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+
+import click
+import gevent
+from gevent.event import Event
+
+from damasktide_standins.balancer.proxy import Balancer, Endpoint
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--instance", "instances", multiple=True, required=True, help="HOST:PORT")
+def main(port: int, instances: tuple[str, ...]) -> None:
+    """Run the stand-in load balancer until SIGTERM."""
+    pairs = (instance.rsplit(":", 1) for instance in instances)
+    balancer = Balancer(tuple(Endpoint(host, int(number)) for host, number in pairs), port)
+    balancer.start()
+    stopped = Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    gevent.signal_handler(signal.SIGINT, stopped.set)
+    stopped.wait()
+    balancer.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/balancer/proxy.py
@@ -0,0 +1,155 @@
+"""TCP load balancer: round robin over the entry instances that are ready."""
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import gevent
+import urllib3
+from gevent.pool import Pool
+from gevent.server import StreamServer
+from urllib3.exceptions import HTTPError
+
+from damasktide.runtime.task import Task, every
+
+PROBE_PERIOD_S = 0.25
+PROBE_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.5
+_CHUNK_BYTES = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """HTTP address of an entry instance."""
+
+    host: str
+    port: int
+
+
+class RoundRobin:
+    """Yields ready endpoints in turn.
+
+    Parameters
+    ----------
+    ready
+        Endpoints at the beginning.
+    """
+
+    def __init__(self, ready: tuple[Endpoint, ...] = ()) -> None:
+        self._ready = ready
+        self._next = 0
+
+    def replace(self, ready: tuple[Endpoint, ...]) -> None:
+        """Use ``ready`` from now on."""
+        self._ready = ready
+
+    def candidates(self) -> Iterator[Endpoint]:
+        """Yield each ready endpoint once, starting with the next in turn."""
+        ready = self._ready
+        first = self._next
+        self._next += 1
+        for offset in range(len(ready)):
+            yield ready[(first + offset) % len(ready)]
+
+
+class ReadinessTask(Task):
+    """Probes ``/readyz`` of all endpoints and publishes those that answer 200.
+
+    Parameters
+    ----------
+    endpoints
+        All entry instances.
+    publish
+        Receives the ready endpoints after each round of probes.
+    """
+
+    def __init__(
+        self, endpoints: tuple[Endpoint, ...], publish: Callable[[tuple[Endpoint, ...]], None]
+    ) -> None:
+        super().__init__("readiness")
+        self._endpoints = endpoints
+        self._publish = publish
+        self._probes = Pool(len(endpoints))
+        self._http = urllib3.PoolManager(
+            num_pools=len(endpoints), retries=False, timeout=PROBE_TIMEOUT_S
+        )
+
+    @every(PROBE_PERIOD_S)
+    def _probe_all(self) -> None:
+        results = self._probes.map(self._is_ready, self._endpoints)
+        pairs = zip(self._endpoints, results, strict=True)
+        self._publish(tuple(endpoint for endpoint, is_ready in pairs if is_ready))
+
+    def _is_ready(self, endpoint: Endpoint) -> bool:
+        try:
+            url = f"http://{endpoint.host}:{endpoint.port}/readyz"
+            return self._http.request("GET", url).status == 200
+        except HTTPError:
+            return False
+
+    def on_stop(self) -> None:
+        """Close the connections of the probes."""
+        self._http.clear()
+
+
+class Balancer:
+    """Accepts connections and joins each to a ready entry instance.
+
+    Parameters
+    ----------
+    endpoints
+        All entry instances.
+    port
+        TCP port on loopback; 0 picks a free one.
+    """
+
+    def __init__(self, endpoints: tuple[Endpoint, ...], port: int = 0) -> None:
+        self._turns = RoundRobin()
+        self._readiness = ReadinessTask(endpoints, self._turns.replace)
+        self._listener = StreamServer(("127.0.0.1", port), self._serve)
+
+    @property
+    def port(self) -> int:
+        """TCP port on which the balancer listens."""
+        return int(self._listener.server_port)
+
+    def start(self) -> None:
+        """Start to probe and to accept connections."""
+        self._readiness.start()
+        self._listener.start()
+
+    def stop(self) -> None:
+        """Close the port and the connections."""
+        self._listener.stop(timeout=0)
+        self._readiness.stop()
+
+    def _serve(self, client: socket.socket, address: tuple[str, int]) -> None:
+        server = self._connect()
+        if server is None:
+            client.close()
+            return
+        for end in (client, server):
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        backward = gevent.spawn(_copy, server, client)
+        _copy(client, server)
+        backward.join()
+        client.close()
+        server.close()
+
+    def _connect(self) -> socket.socket | None:
+        for endpoint in self._turns.candidates():
+            with contextlib.suppress(OSError):
+                address = (endpoint.host, endpoint.port)
+                connection = socket.create_connection(address, CONNECT_TIMEOUT_S)
+                connection.settimeout(None)
+                return connection
+        return None
+
+
+def _copy(source: socket.socket, sink: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while chunk := source.recv(_CHUNK_BYTES):
+            sink.sendall(chunk)
+    with contextlib.suppress(OSError):
+        sink.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/balancer/tests/test_proxy.py
@@ -0,0 +1,46 @@
+import unittest
+
+import gevent
+import urllib3
+from bottle import Bottle, HTTPResponse
+from gevent.pywsgi import WSGIServer
+
+from damasktide_standins.balancer.proxy import PROBE_PERIOD_S, Balancer, Endpoint
+
+
+class BalancerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.status_by_name = {"a": 200, "b": 200}
+        endpoints = tuple(self.serve(name) for name in self.status_by_name)
+        self.balancer = Balancer(endpoints)
+        self.balancer.start()
+        self.addCleanup(self.balancer.stop)
+        gevent.sleep(0.1)
+
+    def serve(self, name: str) -> Endpoint:
+        app = Bottle()
+        app.route("/readyz", "GET", lambda: HTTPResponse("", self.status_by_name[name]))
+        app.route("/name", "GET", lambda: name)
+        server = WSGIServer(("127.0.0.1", 0), app, log=None)
+        server.start()
+        self.addCleanup(server.stop)
+        return Endpoint("127.0.0.1", server.server_port)
+
+    def ask_names(self) -> list[str]:
+        names = []
+        for _ in range(4):
+            with urllib3.PoolManager(retries=False, timeout=2) as http:
+                url = f"http://127.0.0.1:{self.balancer.port}/name"
+                names.append(http.request("GET", url).data.decode())
+        return names
+
+    def test_connections_go_in_turn_to_ready_instances(self) -> None:
+        """Guards against a balancer that hides a missing readiness drop in a drain."""
+        self.assertEqual(sorted(self.ask_names()), ["a", "a", "b", "b"])
+        self.status_by_name["a"] = 503
+        gevent.sleep(PROBE_PERIOD_S * 2)
+        self.assertEqual(self.ask_names(), ["b"] * 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
