Add forwarding, the front end and the local deployment for tests

Cause: the thin path needs a request parsed, admitted, routed and answered. Ruled out: retries inside urllib3, which cannot know whether a request may run twice. Change: parsing with typed refusals, one call per try with its outcome, decisions on retries, a launcher of stand-ins.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a small deployment as separate processes on loopback."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/discovery/topology.py
@@ -0,0 +1,153 @@
+"""Combines membership, live list and operators' choices into what other tasks need."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from damasktide.balancing.messages import TargetsChanged
+from damasktide.balancing.targets import Target
+from damasktide.balancing.task import BalancerTask
+from damasktide.discovery.live_list import TargetsListed
+from damasktide.membership.instances import Instance, InstanceState
+from damasktide.ownership.messages import SurroundingsChanged
+from damasktide.ownership.surroundings import Surroundings
+from damasktide.ownership.task import OwnershipTask
+from damasktide.runtime.task import Task, handles
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesSeen:
+    """Instances as membership sees them, this one included.
+
+    Attributes
+    ----------
+    instance_by_id
+        Known instances.
+    state_by_id
+        What is believed of them.
+    """
+
+    instance_by_id: Mapping[str, Instance]
+    state_by_id: Mapping[str, InstanceState]
+
+
+@dataclass(frozen=True, slots=True)
+class OutOfService:
+    """Failure domains and instances that operators have taken out.
+
+    Attributes
+    ----------
+    domains
+        Names of failure domains.
+    instances
+        Configured names of instances.
+    """
+
+    domains: frozenset[str] = field(default_factory=frozenset)
+    instances: frozenset[str] = field(default_factory=frozenset)
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    """Everything that is known about machines.
+
+    Attributes
+    ----------
+    seen
+        Instances.
+    targets
+        Backend servers of all services.
+    out
+        What operators have taken out.
+    """
+
+    seen: InstancesSeen
+    targets: tuple[Target, ...] = ()
+    out: OutOfService = field(default_factory=OutOfService)
+
+    def alive_instances(self) -> tuple[Instance, ...]:
+        """Return the instances that take part in duties."""
+        return tuple(
+            instance
+            for instance_id, instance in sorted(self.seen.instance_by_id.items())
+            if self.seen.state_by_id.get(instance_id) in _TAKES_PART
+            and configured_name(instance_id) not in self.out.instances
+        )
+
+    def usable_targets(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service; those in a domain taken out count as leaving."""
+        return tuple(
+            replace(target, leaving=target.leaving or target.domain in self.out.domains)
+            for target in self.targets
+            if target.service == service
+        )
+
+    def targets_of(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service as listed."""
+        return tuple(target for target in self.targets if target.service == service)
+
+
+# A suspected instance keeps its duties, as most suspicions are refuted.
+_TAKES_PART = frozenset({InstanceState.ALIVE, InstanceState.SUSPECT})
+
+
+def configured_name(instance_id: str) -> str:
+    """Return the configured name of an instance without its incarnation."""
+    return instance_id.partition("#")[0]
+
+
+class TopologyTask(Task):
+    """Keeps the topology and tells the other tasks of each change.
+
+    Parameters
+    ----------
+    seen
+        Instances known at the start.
+    ownership_by_service, balancer_by_service
+        Tasks to be told.
+    on_change
+        Called with each new topology; it must not block.
+    """
+
+    def __init__(
+        self,
+        seen: InstancesSeen,
+        ownership_by_service: Mapping[str, OwnershipTask],
+        balancer_by_service: Mapping[str, BalancerTask],
+        on_change: Callable[[Topology], None],
+        **kwargs: Any,
+    ) -> None:
+        super().__init__("topology", **kwargs)
+        self._topology = Topology(seen)
+        self._ownership_by_service = ownership_by_service
+        self._balancer_by_service = balancer_by_service
+        self._on_change = on_change
+
+    def on_start(self) -> None:
+        """Publish what is known at the start."""
+        self._publish()
+
+    @handles(InstancesSeen)
+    def _see_instances(self, message: InstancesSeen) -> None:
+        self._topology = replace(self._topology, seen=message)
+        self._publish()
+
+    @handles(TargetsListed)
+    def _list_targets(self, message: TargetsListed) -> None:
+        self._topology = replace(self._topology, targets=message.targets)
+        self._publish()
+
+    @handles(OutOfService)
+    def _take_out(self, message: OutOfService) -> None:
+        self._topology = replace(self._topology, out=message)
+        self._publish()
+
+    def _publish(self) -> None:
+        topology = self._topology
+        alive = topology.alive_instances()
+        for service, ownership in self._ownership_by_service.items():
+            surroundings = Surroundings(alive, topology.targets_of(service), topology.out.domains)
+            ownership.tell(SurroundingsChanged(surroundings))
+        for service, balancer in self._balancer_by_service.items():
+            balancer.tell(TargetsChanged(topology.usable_targets(service)))
+        self._on_change(topology)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -0,0 +1,102 @@
+"""Finds where a request goes; a registry holds one way for keyed and one for unkeyed ones."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.admission.request import AdmittedRequest
+from damasktide.balancing.messages import NoPickReason, Pick, Picked
+from damasktide.balancing.task import BalancerTask
+from damasktide.forwarding.upstream import Destination
+from damasktide.ownership.messages import OwnerSnapshot
+from damasktide.ownership.shard_map import OwnerServer
+from damasktide.ownership.shards import ShardSpace, key_hash
+from damasktide.runtime.published import Published
+from damasktide.runtime.registry import Registry
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRoute:
+    """What is needed to find a destination for one service.
+
+    Attributes
+    ----------
+    service
+        Name of the service.
+    space
+        How keys map to shards.
+    owners
+        Snapshot of the adopted map.
+    balancer
+        Task that chooses targets for unkeyed requests.
+    """
+
+    service: str
+    space: ShardSpace
+    owners: Published[OwnerSnapshot]
+    balancer: BalancerTask
+
+
+Finder = Callable[[ServiceRoute, AdmittedRequest, tuple[str, ...]], Destination | Refusal]
+
+destination_finders: Registry[bool, Finder] = Registry("destination finder")
+
+
+@destination_finders.register(True)
+def find_owner(
+    route: ServiceRoute, admitted: AdmittedRequest, _tried: tuple[str, ...]
+) -> Destination | Refusal:
+    """Return the owner of the request's key."""
+    key = admitted.request.key or ""
+    snapshot = route.owners.value
+    if snapshot.shard_map is None:
+        return Refusal(RefusalCode.NO_OWNER, "no shard map has been adopted yet", 1)
+    shard = route.space.shard_of(key)
+    owner = _hot_owner(snapshot, key) or snapshot.owner_by_shard[shard]
+    if owner is None:
+        return Refusal(RefusalCode.NO_OWNER, f"shard {shard} has no owner at the moment", 1)
+    if owner.region not in admitted.allowed_regions:
+        detail = f"the owner of the key is in region {owner.region}"
+        return Refusal(RefusalCode.REGION_UNAVAILABLE, detail)
+    version = snapshot.shard_map.version
+    return Destination(owner.server_id, owner.host, owner.port, shard, version)
+
+
+@destination_finders.register(False)
+def find_target(
+    route: ServiceRoute, admitted: AdmittedRequest, tried: tuple[str, ...]
+) -> Destination | Refusal:
+    """Return a target chosen by the balancer."""
+    pick = Pick(
+        exclude=tried,
+        allowed_regions=admitted.allowed_regions,
+        link_bytes=len(admitted.request.body),
+    )
+    picked = route.balancer.ask(pick)
+    if isinstance(picked, Picked):
+        target = picked.target
+        return Destination(
+            target.server_id, target.host, target.port, connections=target.connections
+        )
+    return _refusal_for(picked.reason)
+
+
+def _hot_owner(snapshot: OwnerSnapshot, key: str) -> OwnerServer | None:
+    assert snapshot.shard_map is not None
+    hot_owner_by_key_hash = snapshot.shard_map.hot_owner_by_key_hash
+    if not hot_owner_by_key_hash:
+        return None
+    server_id = hot_owner_by_key_hash.get(key_hash(key))
+    return snapshot.shard_map.server_by_id().get(server_id) if server_id else None
+
+
+_CODE_BY_REASON = {
+    NoPickReason.NO_FREE_SLOT: RefusalCode.OVERLOADED,
+    NoPickReason.LINK_BUDGET: RefusalCode.OVERLOADED,
+    NoPickReason.REGION_NOT_ALLOWED: RefusalCode.REGION_UNAVAILABLE,
+}
+
+
+def _refusal_for(reason: NoPickReason) -> Refusal:
+    code = _CODE_BY_REASON.get(reason, RefusalCode.NO_TARGET)
+    return Refusal(code, f"no target: {reason.value}", 1)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -0,0 +1,195 @@
+"""Calls a target once and says what is known about the outcome."""
+
+import time
+from dataclasses import dataclass
+from enum import Enum
+from urllib.parse import quote
+
+from urllib3 import HTTPConnectionPool, PoolManager, Retry, Timeout
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+from urllib3.response import BaseHTTPResponse
+
+from damasktide.admission.request import Answer, CallerRequest
+
+NOT_RUN_HEADER = "Damasktide-Not-Run"
+REQUEST_ID_HEADER = "Idempotency-Key"
+
+_CONNECT_TIMEOUT_S = 0.25
+_NOT_OWNER_STATUS = 409
+
+
+class FailureKind(Enum):
+    """Ways in which a call to a target fails; each value is the retry reason."""
+
+    NOT_CONNECTED = "not_connected"
+    NOT_OWNER = "not_owner"
+    SHED = "shed"
+    TIMED_OUT = "timed_out"
+    RESET = "reset"
+    INCOMPLETE = "incomplete"
+    WRONG_ANSWER = "wrong_answer"
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the request certainly did not run."""
+        return self in _NOT_RUN
+
+
+_NOT_RUN = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER, FailureKind.SHED})
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Where a request is sent.
+
+    Attributes
+    ----------
+    server_id
+        Id of the backend server.
+    host, port
+        TCP address.
+    shard
+        Shard of the key, or None for unkeyed requests.
+    map_version
+        Map version by which the server owns the shard, 0 for unkeyed requests.
+    connections
+        Connections that the server accepts from this instance.
+    """
+
+    server_id: str
+    host: str
+    port: int
+    shard: int | None = None
+    map_version: int = 0
+    connections: int = 110
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamFailure:
+    """A call that gave no whole response to this request.
+
+    Attributes
+    ----------
+    kind
+        What failed.
+    server_id
+        The target.
+    """
+
+    kind: FailureKind
+    server_id: str
+
+
+class Upstream:
+    """Keeps connections to the targets and sends each request exactly once.
+
+    Parameters
+    ----------
+    max_targets
+        Targets to which connections are kept.
+    max_connections
+        Connections kept to each target.
+    """
+
+    def __init__(self, max_targets: int = 256, max_connections: int = 24) -> None:
+        # Retries are decided by the router, which knows whether a request may run twice.
+        self._pools = PoolManager(
+            num_pools=max_targets, maxsize=max_connections, retries=Retry(False), block=False
+        )
+
+    def send(
+        self, request: CallerRequest, destination: Destination, timeout_s: float
+    ) -> Answer | UpstreamFailure:
+        """Send the request once.
+
+        Parameters
+        ----------
+        request
+            The caller's request.
+        destination
+            The target.
+        timeout_s
+            Seconds for the whole call.
+        """
+        pool = self._pools.connection_from_host(destination.host, destination.port, "http")
+        started = time.monotonic()
+        try:
+            response = self._exchange(pool, request, destination, timeout_s)
+        except (NewConnectionError, ConnectTimeoutError):
+            return UpstreamFailure(FailureKind.NOT_CONNECTED, destination.server_id)
+        except ReadTimeoutError:
+            return UpstreamFailure(FailureKind.TIMED_OUT, destination.server_id)
+        except (HTTPError, OSError):
+            is_late = time.monotonic() - started >= timeout_s
+            kind = FailureKind.TIMED_OUT if is_late else FailureKind.RESET
+            return UpstreamFailure(kind, destination.server_id)
+        return self._read(response, request, destination)
+
+    def _exchange(
+        self,
+        pool: HTTPConnectionPool,
+        request: CallerRequest,
+        destination: Destination,
+        timeout_s: float,
+    ) -> BaseHTTPResponse:
+        return pool.urlopen(
+            request.method,
+            _path(request),
+            body=request.body or None,
+            headers=_headers(request, destination, timeout_s),
+            timeout=Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s),
+            redirect=False,
+            retries=False,
+            preload_content=False,
+        )
+
+    def _read(
+        self, response: BaseHTTPResponse, request: CallerRequest, destination: Destination
+    ) -> Answer | UpstreamFailure:
+        """Read the whole body; a body cut short is never passed on."""
+        server_id = destination.server_id
+        try:
+            body = response.read(decode_content=False)
+            response.release_conn()
+        except ReadTimeoutError:
+            return UpstreamFailure(FailureKind.TIMED_OUT, server_id)
+        except (HTTPError, OSError):
+            return UpstreamFailure(FailureKind.INCOMPLETE, server_id)
+        if response.headers.get(NOT_RUN_HEADER) == "1":
+            is_owner_refusal = response.status == _NOT_OWNER_STATUS
+            kind = FailureKind.NOT_OWNER if is_owner_refusal else FailureKind.SHED
+            return UpstreamFailure(kind, server_id)
+        echoed_id = response.headers.get(REQUEST_ID_HEADER, request.request_id)
+        if echoed_id != request.request_id:
+            return UpstreamFailure(FailureKind.WRONG_ANSWER, server_id)
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return Answer(response.status, content_type, body, server_id, {})
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pools.clear()
+
+
+def _path(request: CallerRequest) -> str:
+    path = f"/{request.service}/{request.operation}"
+    if request.key is not None:
+        path = f"{path}/{quote(request.key)}"
+    return f"{path}?{request.query}" if request.query else path
+
+
+def _headers(request: CallerRequest, destination: Destination, timeout_s: float) -> dict[str, str]:
+    headers = {
+        REQUEST_ID_HEADER: request.request_id,
+        "Damasktide-Deadline-Ms": str(int(timeout_s * 1000)),
+    }
+    if request.content_type:
+        headers["Content-Type"] = request.content_type
+    if destination.shard is not None:
+        headers["Damasktide-Shard"] = str(destination.shard)
+        headers["Damasktide-Map-Version"] = str(destination.map_version)
+    return headers
--- /dev/null
+++ b/packages/damasktide/src/damasktide/frontend/parsing.py
@@ -0,0 +1,163 @@
+"""Parses HTTP requests of callers; every refusal names the place of the bad input."""
+
+import re
+import time
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.admission.request import CallerRequest
+
+METHODS = frozenset({"GET", "HEAD", "PUT", "POST", "DELETE"})
+
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_NAME = re.compile(r"[a-z0-9-]{1,64}")
+_MAX_KEY_CHARS = 512
+_MAX_TIMEOUT_MS = 60_000
+_DEFAULT_TIMEOUT_MS = 5_000
+_MAX_ATTEMPT = 1_000
+_BEARER = "Bearer "
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBounds:
+    """Largest request that is accepted.
+
+    Attributes
+    ----------
+    max_body_bytes
+        Bytes of the body.
+    max_header_bytes
+        Bytes of all header names and values.
+    """
+
+    max_body_bytes: int
+    max_header_bytes: int
+
+
+class _BadInputError(Exception):
+    """Carries the refusal of a malformed request."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def parse_request(environ: Mapping[str, Any], bounds: RequestBounds) -> CallerRequest | Refusal:
+    """Return the request of a WSGI environment, or why it is refused."""
+    try:
+        return _parse(environ, bounds)
+    except _BadInputError as error:
+        return error.refusal
+
+
+def _parse(environ: Mapping[str, Any], bounds: RequestBounds) -> CallerRequest:
+    _check_header_size(environ, bounds.max_header_bytes)
+    method = environ["REQUEST_METHOD"]
+    if method not in METHODS:
+        raise _bad("method", f"{method} is not supported")
+    service, operation, key = _split_path(environ["PATH_INFO"])
+    request_id = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if request_id and not _REQUEST_ID.fullmatch(request_id):
+        raise _bad("Idempotency-Key", "expected 1 to 64 characters of [A-Za-z0-9._-]")
+    timeout_ms = _integer(
+        environ, "Damasktide-Timeout-Ms", _DEFAULT_TIMEOUT_MS, 1, _MAX_TIMEOUT_MS
+    )
+    return CallerRequest(
+        request_id=request_id or uuid.uuid4().hex,
+        attempt=_integer(environ, "Damasktide-Attempt", 1, 1, _MAX_ATTEMPT),
+        method=method,
+        service=service,
+        operation=operation,
+        key=key,
+        query=environ.get("QUERY_STRING", ""),
+        content_type=environ.get("CONTENT_TYPE", ""),
+        body=_read_body(environ, bounds.max_body_bytes),
+        deadline=time.monotonic() + timeout_ms / 1000,
+        home_regions=_home_regions(environ.get("HTTP_DAMASKTIDE_HOME_REGIONS")),
+        token=_token(environ.get("HTTP_AUTHORIZATION", "")),
+    )
+
+
+def has_request_id(environ: Mapping[str, Any]) -> bool:
+    """Return whether the caller gave a request id."""
+    return bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+
+
+def _bad(place: str, reason: str) -> _BadInputError:
+    return _BadInputError(Refusal(RefusalCode.BAD_REQUEST, f"{place}: {reason}"))
+
+
+def _check_header_size(environ: Mapping[str, Any], limit: int) -> None:
+    size = sum(
+        len(name) + len(value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_") and isinstance(value, str)
+    )
+    if size > limit:
+        detail = f"headers: {size} bytes, at most {limit} are accepted"
+        raise _BadInputError(Refusal(RefusalCode.HEADER_TOO_LARGE, detail))
+
+
+def _split_path(path: str) -> tuple[str, str, str | None]:
+    parts = path.split("/", 3)
+    if len(parts) < 3 or parts[0]:
+        raise _bad("path", "expected /SERVICE/OPERATION[/KEY]")
+    service, operation = parts[1], parts[2]
+    if not _NAME.fullmatch(service) or not _NAME.fullmatch(operation):
+        raise _bad("path", "service and operation are 1 to 64 characters of [a-z0-9-]")
+    key = unquote(parts[3]) if len(parts) > 3 and parts[3] else None
+    if key is not None and (len(key) > _MAX_KEY_CHARS or not key.isprintable()):
+        raise _bad("path", f"the key is at most {_MAX_KEY_CHARS} printable characters")
+    return service, operation, key
+
+
+def _integer(environ: Mapping[str, Any], header: str, default: int, low: int, high: int) -> int:
+    text = environ.get("HTTP_" + header.upper().replace("-", "_"))
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or not low <= int(text) <= high:
+        raise _bad(header, f"expected a whole number from {low} to {high}")
+    return int(text)
+
+
+def _home_regions(text: str | None) -> frozenset[str] | None:
+    if text is None:
+        return None
+    regions = frozenset(part.strip() for part in text.split(","))
+    if not all(_NAME.fullmatch(region) for region in regions):
+        raise _bad("Damasktide-Home-Regions", "expected region names separated by commas")
+    return regions
+
+
+def _token(authorization: str) -> str:
+    if not authorization.startswith(_BEARER):
+        detail = "Authorization: expected a bearer token"
+        raise _BadInputError(Refusal(RefusalCode.UNKNOWN_CUSTOMER, detail))
+    return authorization[len(_BEARER) :].strip()
+
+
+def _read_body(environ: Mapping[str, Any], limit: int) -> bytes:
+    """Read the whole body; one that ends early is malformed and never sent on."""
+    length_text = environ.get("CONTENT_LENGTH") or ""
+    if length_text and not length_text.isdigit():
+        raise _bad("Content-Length", "expected a whole number")
+    length = int(length_text) if length_text else None
+    if length is not None and length > limit:
+        raise _body_too_large(limit)
+    if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
+        return b""
+    body: bytes = environ["wsgi.input"].read(limit + 1 if length is None else length)
+    if len(body) > limit:
+        raise _body_too_large(limit)
+    if length is not None and len(body) < length:
+        raise _bad("body", f"ended after {len(body)} of {length} bytes")
+    return body
+
+
+def _body_too_large(limit: int) -> _BadInputError:
+    detail = f"body: at most {limit} bytes are accepted"
+    return _BadInputError(Refusal(RefusalCode.BODY_TOO_LARGE, detail))
