--- /dev/null
+++ b/packages/damasktide/src/damasktide/limits/fair_queue.py
@@ -0,0 +1,189 @@
+"""A bounded queue that is fair between customers and ordered by deadline within each."""
+
+from collections.abc import Callable, Iterator
+from heapq import heapify, heappop, heappush
+
+from damasktide.limits.messages import Entry
+
+MAX_QUEUED = 512
+MAX_QUEUED_PER_CUSTOMER = 128
+# Keyed work of a customer may run ahead of unkeyed work of others by this many calls.
+KEYED_LEAD_CALLS = 2.0
+
+Lane = str | None
+
+
+class _Backlog:
+    """Queued entries of one customer and the service time that it has received."""
+
+    __slots__ = ("heap_by_lane", "queued", "virtual_s")
+
+    def __init__(self) -> None:
+        self.heap_by_lane: dict[Lane, list[tuple[float, int, Entry]]] = {}
+        self.queued = 0
+        self.virtual_s = 0.0
+
+    def head(self, is_free: Callable[[Lane], bool]) -> Entry | None:
+        """Return the next entry: keyed first, then by deadline."""
+        keyed = [
+            heap[0]
+            for lane, heap in self.heap_by_lane.items()
+            if lane is not None and is_free(lane)
+        ]
+        if keyed:
+            return min(keyed)[2]
+        unkeyed = self.heap_by_lane.get(None)
+        return unkeyed[0][2] if unkeyed and is_free(None) else None
+
+    def insert(self, entry: Entry) -> None:
+        heappush(self.heap_by_lane.setdefault(entry.owner, []), _item(entry))
+        self.queued += 1
+
+    def remove(self, entry: Entry) -> None:
+        heap = self.heap_by_lane[entry.owner]
+        if heap[0][2] is entry:
+            heappop(heap)
+        else:
+            heap.remove(_item(entry))
+            heapify(heap)
+        if not heap:
+            del self.heap_by_lane[entry.owner]
+        self.queued -= 1
+
+
+def _item(entry: Entry) -> tuple[float, int, Entry]:
+    return entry.deadline, entry.ticket, entry
+
+
+class FairQueue:
+    """Queued requests of one service.
+
+    Customers are served by start-time fair queueing over the seconds of service that they
+    received, which also lends an idle customer's part to the others. Keyed work goes first as
+    long as its customer is not ahead of the others. When the queue is full, the customer with
+    the longest backlog loses its entry with the latest deadline. See Goyal, Vin and Cheng,
+    "Start-time Fair Queuing" (1996).
+
+    Parameters
+    ----------
+    max_queued, max_per_customer
+        Bounds on queued entries.
+    """
+
+    def __init__(
+        self,
+        max_queued: int = MAX_QUEUED,
+        max_per_customer: int = MAX_QUEUED_PER_CUSTOMER,
+    ) -> None:
+        self._max_queued = max_queued
+        self._max_per_customer = max_per_customer
+        self._backlog_by_customer: dict[str, _Backlog] = {}
+        self._active_by_customer: dict[str, _Backlog] = {}
+        self._entry_by_ticket: dict[int, Entry] = {}
+        self._virtual_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._entry_by_ticket)
+
+    def entries_ahead(self, customer: str) -> int:
+        """Return how many entries may go before a new one of ``customer``."""
+        own = self._active_by_customer.get(customer)
+        customers = len(self._active_by_customer) + (own is None)
+        own_queued = own.queued if own is not None else 0
+        return min(len(self), (own_queued + 1) * customers - 1)
+
+    def push(self, entry: Entry) -> Entry | None:
+        """Queue ``entry``; return the entry that was refused for it, perhaps itself."""
+        backlog = self._backlog(entry.customer)
+        if backlog.queued >= self._max_per_customer:
+            return entry
+        victim = self._victim(backlog) if len(self) >= self._max_queued else None
+        if victim is not None and victim.customer == entry.customer:
+            return entry
+        if victim is not None:
+            self.remove(victim.ticket)
+        self._insert(entry, backlog)
+        return victim
+
+    def pop(self, is_free: Callable[[Lane], bool], call_s: float) -> Entry | None:
+        """Take out the entry to run next, or None if none can run.
+
+        Parameters
+        ----------
+        is_free
+            Tells whether a lane, the owner of keyed work or None, has a free slot.
+        call_s
+            Mean seconds of a call, the unit of the lead of keyed work.
+        """
+        if not self._entry_by_ticket:
+            return None
+        least_s = min(backlog.virtual_s for backlog in self._active_by_customer.values())
+        limit_s = least_s + KEYED_LEAD_CALLS * call_s
+        best: tuple[bool, bool, float, float, int] | None = None
+        chosen: Entry | None = None
+        for backlog in self._active_by_customer.values():
+            head = backlog.head(is_free)
+            if head is None:
+                continue
+            virtual_s = backlog.virtual_s
+            rank = (virtual_s > limit_s, head.owner is None, virtual_s, head.deadline, head.ticket)
+            if best is None or rank < best:
+                best, chosen = rank, head
+        if chosen is not None:
+            self.remove(chosen.ticket)
+        return chosen
+
+    def charge(self, customer: str, seconds: float) -> None:
+        """Count service that ``customer`` starts to receive."""
+        backlog = self._backlog(customer)
+        self._virtual_s = max(self._virtual_s, backlog.virtual_s)
+        backlog.virtual_s += seconds
+
+    def correct(self, customer: str, seconds: float) -> None:
+        """Correct the service of ``customer`` by the difference to what was charged."""
+        backlog = self._backlog_by_customer.get(customer)
+        if backlog is not None:
+            backlog.virtual_s += seconds
+
+    def remove(self, ticket: int) -> Entry | None:
+        """Take out the entry with ``ticket`` if it is queued."""
+        entry = self._entry_by_ticket.pop(ticket, None)
+        if entry is None:
+            return None
+        backlog = self._active_by_customer[entry.customer]
+        backlog.remove(entry)
+        if not backlog.queued:
+            del self._active_by_customer[entry.customer]
+        return entry
+
+    def pop_late(self, latest_start: float) -> Iterator[Entry]:
+        """Take out the entries whose deadline is before ``latest_start``."""
+        late = [item for item in self._entry_by_ticket.values() if item.deadline < latest_start]
+        for entry in late:
+            self.remove(entry.ticket)
+            yield entry
+
+    def forget_idle(self) -> None:
+        """Drop the records of customers that are no longer ahead of the others."""
+        for customer, backlog in list(self._backlog_by_customer.items()):
+            if not backlog.queued and backlog.virtual_s <= self._virtual_s:
+                del self._backlog_by_customer[customer]
+
+    def _backlog(self, customer: str) -> _Backlog:
+        backlog = self._backlog_by_customer.get(customer)
+        if backlog is None:
+            backlog = self._backlog_by_customer[customer] = _Backlog()
+        if not backlog.queued:
+            backlog.virtual_s = max(backlog.virtual_s, self._virtual_s)
+        return backlog
+
+    def _insert(self, entry: Entry, backlog: _Backlog) -> None:
+        backlog.insert(entry)
+        self._active_by_customer[entry.customer] = backlog
+        self._entry_by_ticket[entry.ticket] = entry
+
+    def _victim(self, newcomer: _Backlog) -> Entry:
+        longest = max(self._active_by_customer.values(), key=lambda item: item.queued)
+        if newcomer.queued >= longest.queued:
+            longest = newcomer
+        return max(item for heap in longest.heap_by_lane.values() for item in heap)[2]
