Add the gatekeeper of requests that are not idempotent

Cause: a repeat of such a request must get the first outcome and never run again. Ruled out: one object with attributes per record (memory); a report of the outcome without the number of the run, because a late report of an earlier run would end the present one. Each of the three failure tests fails with its mechanism switched off.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure_gatekeeper.py
@@ -0,0 +1,93 @@
+"""Measures the memory of the gatekeeper's records with tracemalloc."""
+
+import time
+import tracemalloc
+from collections.abc import Iterator
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import click
+
+from damasktide.idempotency.memory import Proceed, RequestMemory
+from damasktide.idempotency.placement import IDENTITY_BYTES
+from damasktide.idempotency.records import Completed
+
+RECORD_COUNTS = (10_000, 40_000, 80_000, 160_000)
+BODY_SIZES = (0, 64, 128)
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Cost of a number of records.
+
+    Attributes
+    ----------
+    records
+        Number of records.
+    body_bytes
+        Length of each stored body.
+    memory_bytes
+        Memory that they take together.
+    seconds
+        Processor time for begin and finish of all, without tracemalloc.
+    sweep_seconds
+        Processor time for one sweep that forgets all.
+    """
+
+    records: int
+    body_bytes: int
+    memory_bytes: int
+    seconds: float
+    sweep_seconds: float
+
+
+def measure(records: int, body_bytes: int) -> Sample:
+    """Fill a memory twice, once for its size and once for its time."""
+    tracemalloc.start()
+    memory = _fill(records, body_bytes)
+    memory_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del memory
+    start = time.process_time()
+    memory = _fill(records, body_bytes)
+    filled = time.process_time()
+    memory.sweep(1000.0)
+    swept = time.process_time()
+    return Sample(records, body_bytes, memory_bytes, filled - start, swept - filled)
+
+
+def _fill(records: int, body_bytes: int) -> RequestMemory:
+    memory = RequestMemory(max_records=records)
+    for number in range(records):
+        identity = blake2b(number.to_bytes(8), digest_size=IDENTITY_BYTES).digest()
+        decision = memory.begin(identity, 1, 1.0, 0.0)
+        if not isinstance(decision, Proceed):
+            raise RuntimeError(f"record {number} was refused: {decision}")
+        # Each body is an object of its own, as it is when it comes from a socket.
+        body = bytes(bytearray(body_bytes))
+        memory.finish(identity, decision.run, Completed(201, "application/json", body), 0.0)
+    return memory
+
+
+def samples() -> Iterator[Sample]:
+    """Yield one sample for each body size and number of records."""
+    for body_bytes in BODY_SIZES:
+        for records in RECORD_COUNTS:
+            yield measure(records, body_bytes)
+
+
+@click.command()
+def main() -> None:
+    """Measure the memory of the gatekeeper's records."""
+    click.echo(f"{'body':>5} {'records':>8} {'MB':>7} {'bytes/record':>13} {'us/request':>11}")
+    for sample in samples():
+        per_record = sample.memory_bytes / sample.records
+        per_request_us = (sample.seconds + sample.sweep_seconds) / sample.records * 1e6
+        click.echo(
+            f"{sample.body_bytes:>5} {sample.records:>8} {sample.memory_bytes / 1e6:>7.2f} "
+            f"{per_record:>13.1f} {per_request_us:>11.2f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests that are not idempotent."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/idempotency/gatekeeper.py
@@ -0,0 +1,87 @@
+"""Task that owns the memory of requests that are not idempotent."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from damasktide.idempotency.memory import Decision, RequestMemory
+from damasktide.idempotency.records import RequestOutcome
+from damasktide.runtime.clock import Clock
+from damasktide.runtime.task import Task, TaskFailed, every, handles
+
+SWEEP_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Asks whether a request may run; the reply is a :data:`Decision`.
+
+    Attributes
+    ----------
+    identity
+        Identity of the request.
+    attempt
+        Attempt number given by the caller.
+    timeout_s
+        Seconds until the deadline of the request.
+    """
+
+    identity: bytes
+    attempt: int
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Reports the outcome of a run; the reply is whether the run was the present one.
+
+    Attributes
+    ----------
+    identity
+        Identity of the request.
+    run
+        Number from :class:`damasktide.idempotency.memory.Proceed`.
+    outcome
+        What is known about the run.
+    """
+
+    identity: bytes
+    run: int
+    outcome: RequestOutcome
+
+
+class GatekeeperTask(Task):
+    """Owns the :class:`RequestMemory` of this instance.
+
+    Parameters
+    ----------
+    memory
+        State machine.
+    clock
+        Monotonic clock.
+    on_failure
+        See :class:`damasktide.runtime.task.Task`.
+    """
+
+    def __init__(
+        self,
+        memory: RequestMemory,
+        clock: Clock,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("gatekeeper", on_failure)
+        self._memory = memory
+        self._clock = clock
+
+    @handles(Begin)
+    def _begin(self, message: Begin) -> Decision:
+        now = self._clock.now()
+        return self._memory.begin(message.identity, message.attempt, message.timeout_s, now)
+
+    @handles(Finish)
+    def _finish(self, message: Finish) -> bool:
+        now = self._clock.now()
+        return self._memory.finish(message.identity, message.run, message.outcome, now)
+
+    @every(SWEEP_PERIOD_S)
+    def _sweep(self) -> None:
+        self._memory.sweep(self._clock.now())
--- /dev/null
+++ b/packages/damasktide/src/damasktide/idempotency/memory.py
@@ -0,0 +1,147 @@
+"""State machine that decides whether a request may run."""
+
+from dataclasses import dataclass
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.idempotency.records import (
+    Completed,
+    NotRun,
+    RecordCodec,
+    RequestOutcome,
+    Unknown,
+)
+
+RETENTION_S = 60.0
+# 1,240 requests/s for 60 s, and those still running.
+MAX_RECORDS = 80_000
+FINISH_GRACE_S = 5.0
+_RETRY_AFTER_S = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Proceed:
+    """The request may be sent once.
+
+    Attributes
+    ----------
+    run
+        Number of this permission, to be named in the report of the outcome.
+    """
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """The request has run; the caller gets its first response again."""
+
+    response: Completed
+
+
+Decision = Proceed | Replay | Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class _Run:
+    number: int
+    give_up_at: float
+
+
+class RequestMemory:
+    """Remembers requests that are not idempotent and their outcomes.
+
+    Times are seconds on the monotonic clock.
+
+    Parameters
+    ----------
+    max_records
+        Requests that are remembered at most; beyond them new requests are refused.
+    retention_s
+        Seconds for which a request is remembered after its end.
+    """
+
+    def __init__(self, max_records: int = MAX_RECORDS, retention_s: float = RETENTION_S) -> None:
+        self._max_records = max_records
+        self._retention_s = retention_s
+        self._codec = RecordCodec()
+        self._last_run = 0
+        self._run_by_identity: dict[bytes, _Run] = {}
+        # Ordered by end, and so by expiry, because the retention is constant.
+        self._record_by_identity: dict[bytes, bytes] = {}
+
+    def __len__(self) -> int:
+        return len(self._run_by_identity) + len(self._record_by_identity)
+
+    def begin(self, identity: bytes, attempt: int, timeout_s: float, now: float) -> Decision:
+        """Decide whether a request may run, and note that it does.
+
+        Parameters
+        ----------
+        identity
+            Result of :func:`damasktide.idempotency.placement.identity_of`.
+        attempt
+            Attempt number given by the caller; 1 for the first attempt.
+        timeout_s
+            Seconds until the deadline of the request.
+        now
+            Present time.
+        """
+        if identity in self._run_by_identity:
+            return Refusal(RefusalCode.DUPLICATE_IN_PROGRESS, "the first attempt is running", 1)
+        record = self._record_by_identity.get(identity)
+        if record is not None:
+            outcome = self._codec.unpack(record)
+            if not isinstance(outcome, NotRun):
+                return _decide_by_outcome(outcome)
+            del self._record_by_identity[identity]
+        elif attempt > 1:
+            return Refusal(RefusalCode.OUTCOME_UNKNOWN, "no record of the first attempt")
+        elif len(self) >= self._max_records:
+            return Refusal(
+                RefusalCode.OVERLOADED, "too many requests are remembered", _RETRY_AFTER_S
+            )
+        return self._proceed(identity, now + timeout_s + FINISH_GRACE_S)
+
+    def finish(self, identity: bytes, run: int, outcome: RequestOutcome, now: float) -> bool:
+        """Record the outcome of a run; return False if the run is not the present one."""
+        present = self._run_by_identity.get(identity)
+        # A late report of an earlier run must not end the present one.
+        if present is None or present.number != run:
+            return False
+        self._end(identity, outcome, now)
+        return True
+
+    def sweep(self, now: float) -> None:
+        """Forget what is old enough and give up runs whose outcome is overdue."""
+        overdue = [
+            identity for identity, run in self._run_by_identity.items() if run.give_up_at <= now
+        ]
+        for identity in overdue:
+            self._end(identity, Unknown(), now)
+        expired = []
+        for identity, record in self._record_by_identity.items():
+            if self._codec.expiry(record) > now:
+                break
+            expired.append(identity)
+        for identity in expired:
+            del self._record_by_identity[identity]
+
+    def _proceed(self, identity: bytes, give_up_at: float) -> Proceed:
+        self._last_run += 1
+        self._run_by_identity[identity] = _Run(self._last_run, give_up_at)
+        return Proceed(self._last_run)
+
+    def _end(self, identity: bytes, outcome: RequestOutcome, now: float) -> None:
+        del self._run_by_identity[identity]
+        record = self._codec.pack(outcome, now + self._retention_s)
+        self._record_by_identity[identity] = record
+
+
+def _decide_by_outcome(outcome: Completed | Unknown) -> Decision:
+    if isinstance(outcome, Unknown):
+        return Refusal(RefusalCode.OUTCOME_UNKNOWN, "the first attempt may have run")
+    if outcome.body is None:
+        return Refusal(
+            RefusalCode.OUTCOME_KNOWN, f"the first response had status {outcome.status}"
+        )
+    return Replay(outcome)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/idempotency/tests/test_failures.py
@@ -0,0 +1,117 @@
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from damasktide.admission.refusals import RefusalCode
+from damasktide.idempotency.gatekeeper import Begin, Finish, GatekeeperTask
+from damasktide.idempotency.memory import Decision, Proceed, RequestMemory
+from damasktide.idempotency.records import Completed, NotRun, RequestOutcome, Unknown
+from damasktide.runtime.clock import ManualClock
+
+IDENTITY = b"identity"
+
+
+class BackendServerFake:
+    """Counts runs; ``outcome`` is what the sender learns from each."""
+
+    def __init__(self, outcome: RequestOutcome) -> None:
+        self.outcome = outcome
+        self.runs = 0
+
+    def run(self) -> RequestOutcome:
+        self.runs += 1
+        return self.outcome
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Each check runs once as it is and once with its mechanism switched off."""
+
+    def gatekeeper(self) -> GatekeeperTask:
+        task = GatekeeperTask(RequestMemory(), ManualClock())
+        task.start()
+        self.addCleanup(task.stop)
+        return task
+
+    def begin(self, task: GatekeeperTask, attempt: int) -> Decision:
+        decision: Decision = task.ask(Begin(IDENTITY, attempt, 1.0))
+        return decision
+
+    def send(self, task: GatekeeperTask, server: BackendServerFake, attempt: int) -> Decision:
+        decision = self.begin(task, attempt)
+        if isinstance(decision, Proceed):
+            task.ask(Finish(IDENTITY, decision.run, server.run()))
+        return decision
+
+    def repeat_through_a_new_gatekeeper(self) -> int:
+        server = BackendServerFake(Completed(201))
+        self.send(self.gatekeeper(), server, attempt=1)
+        decision = self.send(self.gatekeeper(), server, attempt=2)
+        if server.runs == 1:
+            self.assertEqual(getattr(decision, "code", None), RefusalCode.OUTCOME_UNKNOWN)
+        return server.runs
+
+    def repeat_while_running(self) -> int:
+        task = self.gatekeeper()
+        decisions = [self.begin(task, attempt) for attempt in (1, 1, 2)]
+        codes = {getattr(decision, "code", None) for decision in decisions[1:]}
+        runs = sum(isinstance(decision, Proceed) for decision in decisions)
+        if runs == 1:
+            self.assertEqual(codes, {RefusalCode.DUPLICATE_IN_PROGRESS})
+        return runs
+
+    def repeat_after_not_run(self) -> int:
+        task = self.gatekeeper()
+        server = BackendServerFake(NotRun())
+        self.send(task, server, attempt=1)
+        server.outcome = Completed(201)
+        self.send(task, server, attempt=1)
+        return server.runs
+
+    def test_repeat_through_a_new_gatekeeper_never_runs(self) -> None:
+        """Guards against a second run after the gatekeeper has changed."""
+        self.check(self.repeat_through_a_new_gatekeeper, 1, self.ignore_attempt(), 2)
+
+    def test_repeat_while_the_first_is_running_is_refused(self) -> None:
+        """Guards against two runs at the same time."""
+        self.check(self.repeat_while_running, 1, self.forget_runs(), 2)
+
+    def test_not_run_record_allows_the_repeat(self) -> None:
+        """Guards against a request that is refused for ever after a refusal 'not run'."""
+        self.check(self.repeat_after_not_run, 2, self.take_not_run_for_run(), 1)
+
+    def check(
+        self, scenario: Callable[[], int], expected: int, mutation: object, mutated: int
+    ) -> None:
+        self.assertEqual(scenario(), expected)
+        with mutation:  # type: ignore[attr-defined]
+            self.assertEqual(scenario(), mutated)
+
+    def ignore_attempt(self) -> object:
+        begin = RequestMemory.begin
+
+        def begin_as_first(
+            memory: RequestMemory, identity: bytes, attempt: int, timeout_s: float, now: float
+        ) -> Decision:
+            return begin(memory, identity, 1, timeout_s, now)
+
+        return mock.patch.object(RequestMemory, "begin", begin_as_first)
+
+    def forget_runs(self) -> object:
+        def proceed(memory: RequestMemory, identity: bytes, give_up_at: float) -> Proceed:
+            return Proceed(1)
+
+        return mock.patch.object(RequestMemory, "_proceed", proceed)
+
+    def take_not_run_for_run(self) -> object:
+        finish = RequestMemory.finish
+
+        def finish_as_unknown(
+            memory: RequestMemory, identity: bytes, run: int, outcome: RequestOutcome, now: float
+        ) -> bool:
+            return finish(memory, identity, run, Unknown(), now)
+
+        return mock.patch.object(RequestMemory, "finish", finish_as_unknown)
+
+
+if __name__ == "__main__":
+    unittest.main()
