--- /dev/null
+++ b/packages/damasktide/src/damasktide/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and counters."""
