Assemble an entry instance from its tasks

Cause: the slices need one place that builds, connects and starts them. Ruled out: tasks that look each other up at run time, which hides who talks to whom. Conclusion: not run end to end yet.

--- a/packages/damasktide/src/damasktide/admission/request.py
+++ b/packages/damasktide/src/damasktide/admission/request.py
@@ -12,6 +12,8 @@
     ----------
     request_id
         Id that the caller gave, or a generated one.
+    has_given_id
+        Whether the caller gave the id.
     attempt
         1 for the first attempt, higher after an unknown outcome.
     method
@@ -35,6 +37,7 @@
     """
 
     request_id: str
+    has_given_id: bool
     attempt: int
     method: str
     service: str
--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""Builds an instance from its settings and runs it."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -0,0 +1,199 @@
+"""Builds the tasks of each service."""
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import partial
+
+from damasktide.balancing.locality import Locality
+from damasktide.balancing.messages import BootSeen
+from damasktide.balancing.task import BalancerTask
+from damasktide.forwarding.destinations import ServiceRoute
+from damasktide.membership.instances import Instance
+from damasktide.ownership import codec
+from damasktide.ownership.executor import (
+    ADOPT_KIND,
+    CONFIRM_KIND,
+    MAP_KIND,
+    ExecutorContext,
+)
+from damasktide.ownership.messages import AdoptRequested, ConfirmRequested, OwnerSnapshot
+from damasktide.ownership.server_client import ServerClient
+from damasktide.ownership.service_ownership import OwnershipSettings
+from damasktide.ownership.shard_map import encode_map
+from damasktide.ownership.shards import ShardSpace
+from damasktide.ownership.task import OwnershipTask
+from damasktide.peering.client import PeerClient
+from damasktide.peering.server import CallHandler
+from damasktide.runtime.clock import Clock
+from damasktide.runtime.published import Published
+from damasktide.runtime.registry import Registry
+from damasktide.runtime.task import Task, TaskFailed
+from damasktide.settings.model import ServiceSettings, Settings
+from damasktide.store.endpoints import StoreEndpoints
+from damasktide.store.store_task import StoreTask
+
+BALANCING_POLICY = "power_of_two"
+
+# One instance's part of the link between regions, of about 30 Mbit/s for all traffic.
+LINK_BYTES_PER_S = 200_000.0
+
+# A read of the map row that takes longer than this is worth no right any more.
+_MAP_STORE_TIMEOUT_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTasks:
+    """The tasks of one service.
+
+    Attributes
+    ----------
+    settings
+        The service.
+    store
+        Task that reads and writes the map row.
+    ownership
+        Task that decides on ownership.
+    balancer
+        Task that chooses targets.
+    route
+        What requests need to find destinations.
+    """
+
+    settings: ServiceSettings
+    store: StoreTask
+    ownership: OwnershipTask
+    balancer: BalancerTask
+    route: ServiceRoute
+
+    def all(self) -> tuple[Task, ...]:
+        """Return the tasks in the order in which they start."""
+        return self.store, self.balancer, self.ownership
+
+
+@dataclass(frozen=True, slots=True)
+class SharedParts:
+    """What the tasks of all services share.
+
+    Attributes
+    ----------
+    own
+        This instance.
+    settings
+        Its settings.
+    peers
+        Calls to other instances.
+    clock
+        Source of time.
+    instance_by_id
+        Returns the known instances.
+    on_failure
+        Called when a task fails.
+    """
+
+    own: Instance
+    settings: Settings
+    peers: PeerClient
+    clock: Clock
+    instance_by_id: Callable[[], Mapping[str, Instance]]
+    on_failure: Callable[[TaskFailed], None]
+
+
+def build_services(shared: SharedParts) -> dict[str, ServiceTasks]:
+    """Return the tasks of each service by its name."""
+    return {
+        name: _build_service(shared, service)
+        for name, service in shared.settings.service_by_name.items()
+    }
+
+
+def _build_service(shared: SharedParts, service: ServiceSettings) -> ServiceTasks:
+    settings = shared.settings
+    endpoints = StoreEndpoints(
+        settings.platform.table_url,
+        settings.platform.object_url,
+        timeout_s=_MAP_STORE_TIMEOUT_S,
+    )
+    store = StoreTask(
+        endpoints, f"store/{service.name}", shared.clock, on_failure=shared.on_failure
+    )
+    balancer = BalancerTask(
+        service.name,
+        Locality(settings.domain, settings.region),
+        BALANCING_POLICY,
+        LINK_BYTES_PER_S,
+        on_failure=shared.on_failure,
+    )
+    space = ShardSpace(service.shards, settings.regions)
+    snapshot = Published(OwnerSnapshot())
+    context = ExecutorContext(
+        service=service.name,
+        store=store,
+        peers=shared.peers,
+        servers=ServerClient(service.name),
+        clock=shared.clock,
+        instance_by_id=shared.instance_by_id,
+    )
+    ownership = OwnershipTask(
+        _ownership_settings(shared, service, space),
+        context,
+        snapshot,
+        on_boot=lambda server_id, boot_id: balancer.tell(BootSeen(server_id, boot_id)),
+        on_failure=shared.on_failure,
+    )
+    route = ServiceRoute(service.name, space, snapshot, balancer)
+    return ServiceTasks(service, store, ownership, balancer, route)
+
+
+def _ownership_settings(
+    shared: SharedParts, service: ServiceSettings, space: ShardSpace
+) -> OwnershipSettings:
+    return OwnershipSettings(
+        instance_id=shared.own.instance_id,
+        domain=shared.own.domain,
+        region=shared.own.region,
+        service=service.name,
+        space=space,
+        policy=service.on_isolation,
+        region_by_domain=shared.settings.region_by_domain,
+        max_deadline_s=None if service.grants_checked else service.max_deadline_s,
+    )
+
+
+def register_ownership_calls(
+    handlers: Registry[str, CallHandler], tasks_by_service: Mapping[str, ServiceTasks], own_id: str
+) -> None:
+    """Register the calls by which peers ask about ownership."""
+    ownership_by_service = {name: tasks.ownership for name, tasks in tasks_by_service.items()}
+    for kind, answer in _ownership_calls():
+        handlers.register(kind)(partial(answer, ownership_by_service, own_id))
+
+
+_OwnershipCall = Callable[[Mapping[str, OwnershipTask], str, str, bytes], bytes]
+
+
+def _ownership_calls() -> Iterator[tuple[str, _OwnershipCall]]:
+    yield CONFIRM_KIND, _confirm
+    yield ADOPT_KIND, _adopt
+    yield MAP_KIND, _read_map
+
+
+def _confirm(
+    ownership_by_service: Mapping[str, OwnershipTask], _own_id: str, _sender: str, body: bytes
+) -> bytes:
+    ownership = ownership_by_service[codec.decode_service(body)]
+    return codec.encode_confirm_reply(ownership.ask(ConfirmRequested()))
+
+
+def _adopt(
+    ownership_by_service: Mapping[str, OwnershipTask], own_id: str, _sender: str, body: bytes
+) -> bytes:
+    shard_map = codec.decode_adopt_request(body)
+    version = ownership_by_service[shard_map.service].ask(AdoptRequested(shard_map))
+    return codec.encode_adopt_reply(own_id, version)
+
+
+def _read_map(
+    ownership_by_service: Mapping[str, OwnershipTask], _own_id: str, _sender: str, body: bytes
+) -> bytes:
+    snapshot = ownership_by_service[codec.decode_service(body)].snapshot
+    return encode_map(snapshot.shard_map).encode() if snapshot.shard_map else b""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/shares.py
@@ -0,0 +1,77 @@
+"""Hands the shares of this instance to the tasks that use them."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from damasktide.assembly.services import LINK_BYTES_PER_S, ServiceTasks
+from damasktide.balancing.messages import SharesChanged
+from damasktide.discovery.topology import Topology
+from damasktide.forwarding.execution import ExecutionView
+from damasktide.limits.members import Member
+from damasktide.limits.messages import (
+    CapacityChanged,
+    HeardFromPeer,
+    MembersChanged,
+    ServiceTargetsChanged,
+)
+from damasktide.limits.slot_share import NOTHING
+from damasktide.limits.task import LimiterTask, Shares
+from damasktide.runtime.published import Published
+
+
+class ShareDistributor:
+    """Connects topology, limiter and balancers; runs in the greenlets of these tasks.
+
+    Parameters
+    ----------
+    tasks_by_service
+        Tasks of each service.
+    view
+        Snapshot for the choice of executors.
+    """
+
+    def __init__(
+        self, tasks_by_service: Mapping[str, ServiceTasks], view: Published[ExecutionView]
+    ) -> None:
+        self._tasks_by_service = tasks_by_service
+        self._view = view
+        self.limiter: LimiterTask | None = None
+
+    def see_topology(self, topology: Topology) -> None:
+        """Take over live instances and targets."""
+        target_by_id = {target.server_id: target for target in topology.targets}
+        alive = topology.alive_instances()
+        self._view.publish(
+            replace(self._view.value, alive=alive, target_by_id=target_by_id)
+        )
+        assert self.limiter is not None
+        members = tuple(
+            Member(instance, topology.seen.state_by_id[instance_id])
+            for instance_id, instance in topology.seen.instance_by_id.items()
+        )
+        self.limiter.tell(MembersChanged(members))
+        self.limiter.tell(HeardFromPeer())
+        for service in self._tasks_by_service:
+            self.limiter.tell(ServiceTargetsChanged(service, topology.usable_targets(service)))
+
+    def distribute(self, shares: Shares) -> None:
+        """Take over new shares."""
+        self._view.publish(replace(self._view.value, share_by_server=shares.share_by_server))
+        for service, tasks in self._tasks_by_service.items():
+            link_bytes_per_s = LINK_BYTES_PER_S
+            tasks.balancer.tell(SharesChanged(shares.share_by_server, link_bytes_per_s))
+            self._set_capacity(service, shares)
+
+    def _set_capacity(self, service: str, shares: Shares) -> None:
+        slots_by_server = {
+            target.server_id: shares.share_by_server.get(target.server_id, NOTHING).of(
+                target.slots
+            )
+            for target in self._view.value.target_by_id.values()
+            if target.service == service
+        }
+        assert self.limiter is not None
+        self.limiter.tell(
+            CapacityChanged(service, sum(slots_by_server.values()), slots_by_server)
+        )
+
--- a/packages/damasktide/src/damasktide/forwarding/codec.py
+++ b/packages/damasktide/src/damasktide/forwarding/codec.py
@@ -45,6 +45,7 @@
     allowed_regions = frozenset(str(region) for region in message.allowedRegions)
     request = CallerRequest(
         request_id=str(message.requestId),
+        has_given_id=True,
         attempt=int(message.attempt),
         method=str(message.method),
         service=str(message.service),
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -42,11 +42,27 @@
 destination_finders: Registry[bool, Finder] = Registry("destination finder")
 
 
-@destination_finders.register(True)
-def find_owner(
-    route: ServiceRoute, admitted: AdmittedRequest, _tried: tuple[str, ...]
-) -> Destination | Refusal:
-    """Return the owner of the request's key."""
+@dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """The owner of a request's key.
+
+    Attributes
+    ----------
+    owner
+        The backend server.
+    shard
+        Shard of the key.
+    map_version
+        Map version that says so.
+    """
+
+    owner: OwnerServer
+    shard: int
+    map_version: int
+
+
+def owner_of_request(route: ServiceRoute, admitted: AdmittedRequest) -> KeyOwner | Refusal:
+    """Return the owner of the request's key, or why there is none for it."""
     key = admitted.request.key or ""
     snapshot = route.owners.value
     if snapshot.shard_map is None:
@@ -58,8 +74,19 @@
     if owner.region not in admitted.allowed_regions:
         detail = f"the owner of the key is in region {owner.region}"
         return Refusal(RefusalCode.REGION_UNAVAILABLE, detail)
-    version = snapshot.shard_map.version
-    return Destination(owner.server_id, owner.host, owner.port, shard, version)
+    return KeyOwner(owner, shard, snapshot.shard_map.version)
+
+
+@destination_finders.register(True)
+def find_owner(
+    route: ServiceRoute, admitted: AdmittedRequest, _tried: tuple[str, ...]
+) -> Destination | Refusal:
+    """Return the owner of the request's key as a destination."""
+    found = owner_of_request(route, admitted)
+    if isinstance(found, Refusal):
+        return found
+    owner = found.owner
+    return Destination(owner.server_id, owner.host, owner.port, found.shard, found.map_version)
 
 
 @destination_finders.register(False)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/execution.py
@@ -0,0 +1,83 @@
+"""Chooses the instance that runs a request."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from damasktide.admission.request import AdmittedRequest
+from damasktide.balancing.targets import Target
+from damasktide.idempotency.placement import gatekeeper_of_request, gatekeeper_of_shard
+from damasktide.limits.shares import holders
+from damasktide.limits.slot_share import NOTHING, SlotShare
+from damasktide.membership.instances import Instance
+from damasktide.ownership.shard_map import OwnerServer
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionView:
+    """What the choice depends on, as this instance sees it.
+
+    Attributes
+    ----------
+    own
+        This instance.
+    alive
+        Instances believed to be alive, this one included.
+    target_by_id
+        Listed backend servers.
+    share_by_server
+        This instance's share of the slots of each backend server.
+    """
+
+    own: Instance
+    alive: Sequence[Instance] = ()
+    target_by_id: Mapping[str, Target] = field(default_factory=dict)
+    share_by_server: Mapping[str, SlotShare] = field(default_factory=dict)
+
+    def has_share(self) -> bool:
+        """Return whether this instance has a slot of any backend server."""
+        return any(
+            share.of(self.target_by_id[server_id].slots) > 0
+            for server_id, share in self.share_by_server.items()
+            if server_id in self.target_by_id
+        )
+
+
+def executor_of_keyed(
+    view: ExecutionView,
+    admitted: AdmittedRequest,
+    owner: OwnerServer,
+    shard: int,
+    grants_checked: bool,
+) -> str:
+    """Return the id of the instance that sends a keyed request to its owner.
+
+    A request that must not run twice goes through the gatekeeper of its shard, as do all
+    requests to servers that do not check grants, since only instances of the owner's failure
+    domain may send those. Others are sent from here if this instance has a slot of the owner.
+    """
+    target = view.target_by_id.get(owner.server_id)
+    has_slot = target is None or (
+        view.share_by_server.get(owner.server_id, NOTHING).of(target.slots) > 0
+    )
+    if admitted.is_idempotent and grants_checked and has_slot:
+        return view.own.instance_id
+    candidates = [instance for instance in view.alive if instance.domain == owner.domain]
+    if target is not None:
+        candidates = holders(candidates, target)[: target.slots]
+    ids = [instance.instance_id for instance in candidates]
+    chosen = gatekeeper_of_shard(ids, admitted.request.service, shard)
+    return chosen if chosen is not None else view.own.instance_id
+
+
+def executor_of_unkeyed(view: ExecutionView, admitted: AdmittedRequest) -> str:
+    """Return the id of the instance that sends an unkeyed request to a target."""
+    if admitted.is_idempotent:
+        return view.own.instance_id
+    ids = [
+        instance.instance_id
+        for instance in view.alive
+        if instance.domain == view.own.domain
+    ]
+    request = admitted.request
+    chosen = gatekeeper_of_request(ids, request.service, request.request_id)
+    return chosen if chosen is not None else view.own.instance_id
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/failures.py
@@ -0,0 +1,62 @@
+"""Ways in which a call to a target fails, and the refusals that tell the caller."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+
+
+class FailureKind(Enum):
+    """Ways in which a call to a target fails; each value is the retry reason."""
+
+    NOT_CONNECTED = "not_connected"
+    NOT_OWNER = "not_owner"
+    SHED = "shed"
+    TIMED_OUT = "timed_out"
+    RESET = "reset"
+    INCOMPLETE = "incomplete"
+    WRONG_ANSWER = "wrong_answer"
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the request certainly did not run."""
+        return self in _NOT_RUN
+
+    @property
+    def is_owner_change(self) -> bool:
+        """Whether a keyed request failed because its owner is lost or another one."""
+        return self in _OWNER_CHANGES
+
+
+_NOT_RUN = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER, FailureKind.SHED})
+_OWNER_CHANGES = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER})
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamFailure:
+    """A call that gave no whole response to this request.
+
+    Attributes
+    ----------
+    kind
+        What failed.
+    server_id
+        The target.
+    """
+
+    kind: FailureKind
+    server_id: str
+
+
+def refusal_for(kind: FailureKind, is_keyed: bool) -> Refusal:
+    """Return the refusal that tells the caller of a failed call."""
+    if kind is FailureKind.SHED:
+        return Refusal(RefusalCode.OVERLOADED, "the backend server sheds load", 1)
+    if kind.is_not_run:
+        code = RefusalCode.NO_OWNER if is_keyed else RefusalCode.NO_TARGET
+        return Refusal(code, f"no backend server took the request: {kind.value}", 1)
+    if kind in (FailureKind.INCOMPLETE, FailureKind.WRONG_ANSWER):
+        detail = "the backend server's response was cut short or belongs to another request"
+        return Refusal(RefusalCode.ANSWER_INCOMPLETE, detail)
+    detail = f"the backend server did not answer: {kind.value}"
+    return Refusal(RefusalCode.OUTCOME_UNKNOWN, detail)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -0,0 +1,199 @@
+"""Serves a caller's request: admit, choose the executor, run here or at a peer."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from damasktide.admission.checks import admit
+from damasktide.admission.refusals import Outcome, Refusal, RefusalCode
+from damasktide.admission.request import AdmittedRequest, Answer, CallerRequest
+from damasktide.catalog.lists import Catalog
+from damasktide.forwarding import codec
+from damasktide.forwarding.destinations import ServiceRoute, owner_of_request
+from damasktide.forwarding.execution import (
+    ExecutionView,
+    executor_of_keyed,
+    executor_of_unkeyed,
+)
+from damasktide.forwarding.router import OWNER_POLL_S, OWNER_WAIT_S, Router
+from damasktide.idempotency.gatekeeper import Begin, Finish, GatekeeperTask
+from damasktide.idempotency.memory import Proceed, Replay
+from damasktide.idempotency.placement import identity_of
+from damasktide.idempotency.records import Completed, NotRun, RequestOutcome, Unknown
+from damasktide.limits.messages import Leave, Refused
+from damasktide.limits.task import LimiterTask
+from damasktide.membership.instances import Instance
+from damasktide.peering.client import PeerClient
+from damasktide.runtime.published import Published
+from damasktide.settings.model import ServiceSettings
+
+FORWARD_KIND = "forwarding/run"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceParts:
+    """What serving a request needs.
+
+    Attributes
+    ----------
+    catalog
+        The accepted lists, or None before the first.
+    service_by_name
+        Settings of the services.
+    route_by_service
+        What is needed to find destinations.
+    view
+        What the choice of the executor depends on.
+    router, limiter, gatekeeper, peers
+        The parts that do the work.
+    on_refused
+        Counts a refusal.
+    """
+
+    catalog: Published[Catalog | None]
+    service_by_name: Mapping[str, ServiceSettings]
+    route_by_service: Mapping[str, ServiceRoute]
+    view: Published[ExecutionView]
+    router: Router
+    limiter: LimiterTask
+    gatekeeper: GatekeeperTask
+    peers: PeerClient
+    on_refused: Callable[[Refusal], None]
+
+
+class RequestService:
+    """Serves requests of callers and of other instances.
+
+    Parameters
+    ----------
+    parts
+        What it works with.
+    """
+
+    def __init__(self, parts: ServiceParts) -> None:
+        self._parts = parts
+
+    def handle(self, request: CallerRequest) -> Answer | Refusal:
+        """Return the whole response to a caller's request, or a refusal."""
+        result = self._handle(request)
+        if isinstance(result, Refusal):
+            self._parts.on_refused(result)
+        return result
+
+    def handle_forwarded(self, _sender_id: str, body: bytes) -> bytes:
+        """Run a request that another instance admitted."""
+        admitted = codec.decode_request(body)
+        return codec.encode_result(self._run_here(admitted))
+
+    def _handle(self, request: CallerRequest) -> Answer | Refusal:
+        catalog = self._parts.catalog.value
+        if catalog is None:
+            detail = "this instance has no accepted configuration yet"
+            return Refusal(RefusalCode.DRAINING, detail, 1)
+        admitted = admit(request, catalog, self._parts.service_by_name)
+        if isinstance(admitted, Refusal):
+            return admitted
+        executor_id = self._choose_executor(admitted)
+        if isinstance(executor_id, Refusal):
+            return executor_id
+        if executor_id == self._parts.view.value.own.instance_id:
+            return self._run_here(admitted)
+        return self._run_at_peer(admitted, executor_id)
+
+    def _choose_executor(self, admitted: AdmittedRequest) -> str | Refusal:
+        view = self._parts.view.value
+        if not admitted.is_keyed:
+            return executor_of_unkeyed(view, admitted)
+        route = self._parts.route_by_service[admitted.request.service]
+        wait_until = min(admitted.request.deadline, time.monotonic() + OWNER_WAIT_S)
+        found = owner_of_request(route, admitted)
+        while isinstance(found, Refusal) and found.code is RefusalCode.NO_OWNER:
+            if time.monotonic() >= wait_until:
+                return found
+            time.sleep(OWNER_POLL_S)
+            found = owner_of_request(route, admitted)
+        if isinstance(found, Refusal):
+            return found
+        grants_checked = self._parts.service_by_name[route.service].grants_checked
+        return executor_of_keyed(view, admitted, found.owner, found.shard, grants_checked)
+
+    def _run_at_peer(self, admitted: AdmittedRequest, instance_id: str) -> Answer | Refusal:
+        peer = self._peer(instance_id)
+        remaining_s = admitted.request.deadline - time.monotonic()
+        if peer is None or remaining_s <= 0:
+            return Refusal(RefusalCode.NO_OWNER, f"instance {instance_id} is not reachable", 1)
+        body = codec.encode_request(admitted)
+        reply = self._parts.peers.call(
+            peer.host, peer.peer_port, FORWARD_KIND, body, remaining_s
+        )
+        if isinstance(reply, Success):
+            return codec.decode_result(reply.unwrap())
+        error = reply.failure()
+        if error.not_sent:
+            detail = f"instance {instance_id} is not reachable: {error.reason}"
+            return Refusal(RefusalCode.NO_OWNER, detail, 1)
+        detail = f"instance {instance_id} did not answer: {error.reason}"
+        return Refusal(RefusalCode.OUTCOME_UNKNOWN, detail)
+
+    def _peer(self, instance_id: str) -> Instance | None:
+        alive = self._parts.view.value.alive
+        return next((item for item in alive if item.instance_id == instance_id), None)
+
+    def _run_here(self, admitted: AdmittedRequest) -> Answer | Refusal:
+        if admitted.is_idempotent:
+            return self._run_limited(admitted)
+        return self._run_once(admitted)
+
+    def _run_once(self, admitted: AdmittedRequest) -> Answer | Refusal:
+        """Run a request that must not run twice, unless its record says otherwise."""
+        request = admitted.request
+        identity = identity_of(
+            admitted.customer,
+            request.service,
+            request.operation,
+            request.key or "",
+            request.request_id,
+        )
+        remaining_s = max(0.0, request.deadline - time.monotonic())
+        decision = self._parts.gatekeeper.ask(Begin(identity, request.attempt, remaining_s))
+        if isinstance(decision, Refusal):
+            return decision
+        if isinstance(decision, Replay):
+            return _replayed(decision.response)
+        assert isinstance(decision, Proceed)
+        outcome: RequestOutcome = Unknown()
+        try:
+            result = self._run_limited(admitted)
+            outcome = _outcome_of(result)
+            return result
+        finally:
+            self._parts.gatekeeper.tell(Finish(identity, decision.run, outcome))
+
+    def _run_limited(self, admitted: AdmittedRequest) -> Answer | Refusal:
+        request = admitted.request
+        owner_id = None
+        if admitted.is_keyed:
+            route = self._parts.route_by_service[request.service]
+            found = owner_of_request(route, admitted)
+            if not isinstance(found, Refusal):
+                owner_id = found.owner.server_id
+        limiter = self._parts.limiter
+        verdict = limiter.enter(admitted.customer, request.service, request.deadline, owner_id)
+        if isinstance(verdict, Refused):
+            return verdict.refusal
+        try:
+            return self._parts.router.route(admitted, verdict.ticket)
+        finally:
+            limiter.tell(Leave(verdict.ticket))
+
+
+def _outcome_of(result: Answer | Refusal) -> RequestOutcome:
+    if isinstance(result, Answer):
+        return Completed(result.status, result.content_type, result.body)
+    return NotRun() if result.code.outcome is Outcome.NOT_RUN else Unknown()
+
+
+def _replayed(response: Completed) -> Answer:
+    return Answer(response.status, response.content_type, response.body or b"", "", {})
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -9,9 +9,13 @@
 from damasktide.admission.refusals import Outcome, Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest, Answer
 from damasktide.balancing.messages import CallOutcome, Done
+from damasktide.forwarding.backoff import Backoff, FailedCall, Retry
 from damasktide.forwarding.destinations import ServiceRoute, destination_finders
-from damasktide.forwarding.retry_decision import TryAgain, after_failure, refusal_for
-from damasktide.forwarding.upstream import Destination, FailureKind, Upstream, UpstreamFailure
+from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
+from damasktide.forwarding.retry_budget import CountRequest, RetryBudgetTask, SpendRetry
+from damasktide.forwarding.upstream import Destination, Upstream
+from damasktide.limits.messages import Placed
+from damasktide.limits.task import LimiterTask
 
 # An owner that was lost is replaced within 2 s, so a keyed request waits at most that long.
 OWNER_WAIT_S = 2.0
@@ -37,6 +41,10 @@
         What is needed to find destinations.
     upstream
         Connections to the targets.
+    budget
+        Task that owns the retry budget.
+    limiter
+        Task that is told which slot a request takes.
     count
         Counts a retry reason.
     """
@@ -45,22 +53,36 @@
         self,
         route_by_service: Mapping[str, ServiceRoute],
         upstream: Upstream,
+        budget: RetryBudgetTask,
+        limiter: LimiterTask,
         count: Callable[[str], None],
     ) -> None:
         self._route_by_service = route_by_service
         self._upstream = upstream
+        self._budget = budget
+        self._limiter = limiter
         self._count = count
         self._random = Random()
-
-    def route(self, admitted: AdmittedRequest) -> Answer | Refusal:
-        """Return the whole response to the request, or a refusal."""
+        self._backoff = Backoff(self._random)
+
+    def route(self, admitted: AdmittedRequest, ticket: int) -> Answer | Refusal:
+        """Return the whole response to the request, or a refusal.
+
+        Parameters
+        ----------
+        admitted
+            The request.
+        ticket
+            Its ticket at the limiter.
+        """
+        self._budget.tell(CountRequest())
         tries = _Tries(min(admitted.request.deadline, time.monotonic() + OWNER_WAIT_S))
-        result = self._run(admitted, tries)
+        result = self._run(admitted, ticket, tries)
         if isinstance(result, Refusal) and tries.may_have_run:
             return _without_not_run(result)
         return result
 
-    def _run(self, admitted: AdmittedRequest, tries: "_Tries") -> Answer | Refusal:
+    def _run(self, admitted: AdmittedRequest, ticket: int, tries: "_Tries") -> Answer | Refusal:
         route = self._route_by_service[admitted.request.service]
         find = destination_finders.get(admitted.is_keyed)
         while True:
@@ -71,23 +93,37 @@
             if isinstance(destination, Refusal):
                 if destination.code is not RefusalCode.NO_OWNER or tries.is_owner_overdue():
                     return destination
-                self._pause()
+                self._wait_for_owner()
                 continue
+            if not admitted.is_keyed:
+                self._limiter.tell(Placed(ticket, destination.server_id))
             result = self._call(route, admitted, destination, remaining_s)
             if isinstance(result, Answer):
                 return result
             tries.record(result)
-            decision = self._decide(admitted, result)
-            if isinstance(decision, Refusal):
-                return decision
-            if admitted.is_keyed and tries.is_owner_overdue():
-                return refusal_for(result.kind, is_keyed=True)
-            self._count(decision.reason.value)
-            self._pause()
-
-    def _decide(self, admitted: AdmittedRequest, failure: UpstreamFailure) -> TryAgain | Refusal:
+            refusal = self._refusal_or_wait(admitted, result, tries)
+            if refusal is not None:
+                return refusal
+            self._count(result.kind.value)
+
+    def _refusal_or_wait(
+        self, admitted: AdmittedRequest, failure: UpstreamFailure, tries: "_Tries"
+    ) -> Refusal | None:
+        """Return the refusal that ends the request, or None after waiting for another try."""
+        refusal = refusal_for(failure.kind, admitted.is_keyed)
+        if admitted.is_keyed and failure.kind.is_owner_change:
+            # The owner changes; waiting for the next one puts no load on a backend server.
+            if tries.is_owner_overdue():
+                return refusal
+            self._wait_for_owner()
+            return None
+        call = FailedCall(admitted.is_idempotent, failure.kind.is_not_run, tries.count - 1)
         remaining_s = admitted.request.deadline - time.monotonic()
-        return after_failure(failure.kind, admitted.is_idempotent, admitted.is_keyed, remaining_s)
+        decision = self._backoff.decide(call, remaining_s)
+        if not isinstance(decision, Retry) or not self._budget.ask(SpendRetry()):
+            return refusal
+        gevent.sleep(decision.delay_s)
+        return None
 
     def _call(
         self,
@@ -99,13 +135,14 @@
         started = time.monotonic()
         result = self._upstream.send(admitted.request, destination, remaining_s)
         if not admitted.is_keyed:
-            is_answer = isinstance(result, Answer)
-            outcome = CallOutcome.OK if is_answer else _OUTCOME_BY_KIND[result.kind]  # type: ignore[union-attr]
+            outcome = CallOutcome.OK
+            if isinstance(result, UpstreamFailure):
+                outcome = _OUTCOME_BY_KIND[result.kind]
             latency_s = time.monotonic() - started
             route.balancer.tell(Done(destination.server_id, latency_s, outcome))
         return result
 
-    def _pause(self) -> None:
+    def _wait_for_owner(self) -> None:
         gevent.sleep(OWNER_POLL_S * self._random.uniform(0.5, 1.5))
 
 
@@ -117,6 +154,11 @@
         self.server_ids: tuple[str, ...] = ()
         self.may_have_run = False
 
+    @property
+    def count(self) -> int:
+        """Number of calls."""
+        return len(self.server_ids)
+
     def record(self, failure: UpstreamFailure) -> None:
         """Take account of a failed call."""
         self.server_ids = (*self.server_ids, failure.server_id)
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -2,7 +2,6 @@
 
 import time
 from dataclasses import dataclass
-from enum import Enum
 from urllib.parse import quote
 
 from urllib3 import HTTPConnectionPool, PoolManager, Retry, Timeout
@@ -15,6 +14,7 @@
 from urllib3.response import BaseHTTPResponse
 
 from damasktide.admission.request import Answer, CallerRequest
+from damasktide.forwarding.failures import FailureKind, UpstreamFailure
 
 NOT_RUN_HEADER = "Damasktide-Not-Run"
 REQUEST_ID_HEADER = "Idempotency-Key"
@@ -23,26 +23,6 @@
 _NOT_OWNER_STATUS = 409
 
 
-class FailureKind(Enum):
-    """Ways in which a call to a target fails; each value is the retry reason."""
-
-    NOT_CONNECTED = "not_connected"
-    NOT_OWNER = "not_owner"
-    SHED = "shed"
-    TIMED_OUT = "timed_out"
-    RESET = "reset"
-    INCOMPLETE = "incomplete"
-    WRONG_ANSWER = "wrong_answer"
-
-    @property
-    def is_not_run(self) -> bool:
-        """Whether the request certainly did not run."""
-        return self in _NOT_RUN
-
-
-_NOT_RUN = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER, FailureKind.SHED})
-
-
 @dataclass(frozen=True, slots=True)
 class Destination:
     """Where a request is sent.
@@ -69,22 +49,6 @@
     connections: int = 110
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamFailure:
-    """A call that gave no whole response to this request.
-
-    Attributes
-    ----------
-    kind
-        What failed.
-    server_id
-        The target.
-    """
-
-    kind: FailureKind
-    server_id: str
-
-
 class Upstream:
     """Keeps connections to the targets and sends each request exactly once.
 
--- a/packages/damasktide/src/damasktide/frontend/parsing.py
+++ b/packages/damasktide/src/damasktide/frontend/parsing.py
@@ -68,6 +68,7 @@
     )
     return CallerRequest(
         request_id=request_id or uuid.uuid4().hex,
+        has_given_id=bool(request_id),
         attempt=_integer(environ, "Damasktide-Attempt", 1, 1, _MAX_ATTEMPT),
         method=method,
         service=service,
@@ -82,11 +83,6 @@
     )
 
 
-def has_request_id(environ: Mapping[str, Any]) -> bool:
-    """Return whether the caller gave a request id."""
-    return bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
-
-
 def _bad(place: str, reason: str) -> _BadInputError:
     return _BadInputError(Refusal(RefusalCode.BAD_REQUEST, f"{place}: {reason}"))
 
--- a/packages/damasktide/src/damasktide/ownership/task.py
+++ b/packages/damasktide/src/damasktide/ownership/task.py
@@ -75,6 +75,11 @@
         self._workers = Pool(_MAX_OPEN_EFFECTS)
         self._open_targets: set[tuple[type, str]] = set()
 
+    @property
+    def snapshot(self) -> OwnerSnapshot:
+        """The latest published map; safe to read from any greenlet."""
+        return self._snapshot.value
+
     def on_stop(self) -> None:
         """End the exchanges that are still open."""
         self._workers.kill(block=False)
