Add the catalog slice

Cause: instances need one accepted version of the lists and of what is out of service, and operators need changes that never get lost or applied twice. Ruled out: polling inside CatalogTask (a slow store would delay what peers offer); decoding the lists again for each change (most changes leave them as they are); trusting peers while the store can be read. Change: lists with findings, canonical JSON, differences, plan checks, a registry of edits, the apply procedure, the adoption rule, CatalogTask and CatalogPoller. Conclusion: formatter, linter, type check and tests pass, including lost responses followed by another operator, races, a missing object, repeats and a store that goes back.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/catalog/plan_checks.py
@@ -0,0 +1,82 @@
+"""Checks of a request against the customer's plan."""
+
+import hashlib
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.catalog.lists import Catalog, Customer, Plan
+
+
+@dataclass(frozen=True, slots=True)
+class Entitlement:
+    """What a request may use.
+
+    Attributes
+    ----------
+    customer, plan
+        Who asks, and the customer's plan.
+    home_regions
+        Regions in which the request has to stay; empty if there is no such rule.
+    """
+
+    customer: Customer
+    plan: Plan
+    home_regions: tuple[str, ...]
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Regions in which the request may be served."""
+        return self.home_regions or self.plan.regions
+
+
+def hash_token(token: str) -> str:
+    """Return the SHA-256 of a bearer token as the lists keep it."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def check_plan(
+    catalog: Catalog,
+    token_hash: str,
+    service: str,
+    requested_home_regions: tuple[str, ...],
+    body_bytes: int,
+) -> Result[Entitlement, Refusal]:
+    """Check a request against the plan of its customer.
+
+    Parameters
+    ----------
+    catalog
+        The accepted lists.
+    token_hash
+        SHA-256 of the bearer token in hexadecimal.
+    service
+        Service that the request names.
+    requested_home_regions
+        Home regions that the request names; empty if it names none. They may narrow the
+        customer's own home regions and never widen them.
+    body_bytes
+        Length of the body.
+    """
+    customer = catalog.customer_by_token_hash.get(token_hash)
+    if customer is None:
+        return _refuse(RefusalCode.UNKNOWN_CUSTOMER, "the token belongs to no customer")
+    plan = catalog.plan_by_name[customer.plan]
+    if service not in plan.services:
+        detail = f"plan {plan.name} does not include service {service}"
+        return _refuse(RefusalCode.SERVICE_NOT_IN_PLAN, detail)
+    allowed = customer.home_regions or plan.regions
+    outside = [region for region in requested_home_regions if region not in allowed]
+    if outside:
+        detail = f"home region {outside[0]} is not open to customer {customer.name}"
+        return _refuse(RefusalCode.REGION_NOT_IN_PLAN, detail)
+    if body_bytes > plan.max_body_bytes:
+        detail = f"the body has more than {plan.max_body_bytes} bytes"
+        return _refuse(RefusalCode.BODY_TOO_LARGE, detail)
+    home_regions = requested_home_regions or customer.home_regions
+    return Success(Entitlement(customer, plan, home_regions))
+
+
+def _refuse(code: RefusalCode, detail: str) -> Result[Entitlement, Refusal]:
+    return Failure(Refusal(code, detail))
--- /dev/null
+++ b/packages/damasktide/src/damasktide/catalog/poller.py
@@ -0,0 +1,79 @@
+"""The task that polls the store for new configurations."""
+
+from collections.abc import Callable
+
+from returns.pipeline import is_successful
+
+from damasktide.catalog.adoption import CatalogAccepted, OfferConfiguration, Source
+from damasktide.catalog.catalog_task import CatalogTask, StoreProblem
+from damasktide.catalog.configuration import CONFIGURATION_KEY, decode_configuration
+from damasktide.runtime.task import Task, TaskFailed, every
+from damasktide.store.asking import StoreAsker, ask_store
+from damasktide.store.messages import ReadObject, ReadRow
+from damasktide.store.rows import Row
+
+POLL_PERIOD_S = 1.0
+
+
+class CatalogPoller(Task):
+    """Reads the row each second and fetches the object of a higher version.
+
+    It is a task of its own, so that a slow store does not delay what peers offer to the
+    :class:`CatalogTask`.
+
+    Parameters
+    ----------
+    store
+        The store task to ask.
+    catalog
+        The task that judges what was read.
+    on_failure
+        Called when the task ends because of an error.
+    """
+
+    def __init__(
+        self,
+        store: StoreAsker,
+        catalog: CatalogTask,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("catalog-poller", on_failure)
+        self._store = store
+        self._catalog = catalog
+
+    @every(POLL_PERIOD_S)
+    def poll(self) -> None:
+        """Read the row once and offer a new version to the catalog task."""
+        read = ask_store(self._store, ReadRow(CONFIGURATION_KEY))
+        if not is_successful(read):
+            self._catalog.tell(StoreProblem(read.failure().detail))
+            return
+        self._catalog.tell(read.unwrap())
+        row, accepted = read.unwrap().row, self._catalog.accepted
+        if _needs_offer(row, accepted):
+            self._offer(row, accepted)
+
+    def _offer(self, row: Row, accepted: CatalogAccepted | None) -> None:
+        try:
+            name = decode_configuration(row.version, row.body).object_name
+        except ValueError as error:
+            self._catalog.tell(StoreProblem(str(error)))
+            return
+        if accepted is not None and accepted.configuration.object_name == name:
+            data = accepted.object_bytes
+        else:
+            fetched = ask_store(self._store, ReadObject(name))
+            if not is_successful(fetched):
+                detail = f"version {row.version}: {fetched.failure().detail}"
+                self._catalog.tell(StoreProblem(detail))
+                return
+            data = fetched.unwrap()
+        self._catalog.tell(OfferConfiguration(row.version, row.body, data, Source.STORE))
+
+
+def _needs_offer(row: Row, accepted: CatalogAccepted | None) -> bool:
+    if accepted is None:
+        return row.version > 0
+    if row.version == accepted.version:
+        return accepted.source is Source.PEERS and row.body == accepted.row_body
+    return row.version > accepted.version
--- /dev/null
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_catalog_task.py
@@ -0,0 +1,143 @@
+import unittest
+
+import gevent
+
+from damasktide.catalog.adoption import CatalogAccepted, OfferConfiguration, Source, Verdict
+from damasktide.catalog.catalog_task import (
+    CatalogStatus,
+    CatalogTask,
+    DescribeCatalog,
+    Subscribe,
+)
+from damasktide.catalog.changes import Change, apply_change
+from damasktide.catalog.poller import CatalogPoller
+from damasktide.catalog.tests.samples import LISTS, OTHER_LISTS, offer
+from damasktide.runtime.clock import ManualClock
+from damasktide.store.endpoints import StoreEndpoints
+from damasktide.store.store_task import StoreTask
+from damasktide_standins.platform.server import PlatformServer
+
+ADA = Change("ada", "change-ada", "lists", lists=LISTS)
+BISI = Change("bisi", "change-bisi", "lists", lists=OTHER_LISTS)
+
+
+class CatalogTaskTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = PlatformServer()
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        self.clock = ManualClock(1000.0)
+        self.published: list[CatalogAccepted] = []
+        endpoints = StoreEndpoints(self.platform.url, self.platform.url, timeout_s=0.5)
+        self.store = StoreTask(endpoints, clock=self.clock)
+        self.catalog = CatalogTask([self.published.append], self.clock)
+        for task in (self.store, self.catalog):
+            task.start()
+            self.addCleanup(task.stop)
+        self.poller = CatalogPoller(self.store, self.catalog)
+
+    def poll(self) -> CatalogStatus:
+        self.poller.poll()
+        status: CatalogStatus = self.catalog.ask(DescribeCatalog())
+        return status
+
+    def set_down(self, down: bool) -> None:
+        self.platform.app.faults.change({"down": down})
+
+    def test_new_versions_are_published_once_as_snapshots(self) -> None:
+        """Guards against a change that is not in force, or is published with each poll."""
+        self.assertEqual(self.poll(), CatalogStatus(0, "", 0, 0.0, ""))
+        apply_change(self.store, ADA).unwrap()
+        for _ in range(3):
+            status = self.poll()
+        self.assertEqual((status.version, status.source), (1, "store"))
+        apply_change(self.store, Change("ada", "out", "domain-out", "ondo-a")).unwrap()
+        self.poll()
+        self.assertEqual([accepted.version for accepted in self.published], [1, 2])
+        self.assertEqual(self.published[1].configuration.domains_out, ("ondo-a",))
+        late: list[CatalogAccepted] = []
+        self.catalog.tell(Subscribe(late.append))
+        self.catalog.ask(DescribeCatalog())
+        self.assertEqual(late, self.published[1:])
+
+    def test_missing_object_keeps_the_old_version_until_it_is_there(self) -> None:
+        """Guards against empty lists, or none, when an object cannot be fetched."""
+        apply_change(self.store, ADA).unwrap()
+        self.poll()
+        apply_change(self.store, BISI).unwrap()
+        objects = self.platform.app.object_by_path
+        path = next(path for path, data in objects.items() if data == OTHER_LISTS)
+        del objects[path]
+        status = self.poll()
+        self.assertEqual((status.version, status.store_version), (1, 2))
+        self.assertIn("no object", status.problem)
+        objects[path] = OTHER_LISTS
+        status = self.poll()
+        self.assertEqual((status.version, status.problem), (2, ""))
+
+    def test_store_that_goes_back_does_not_revert_the_instance(self) -> None:
+        """Guards against a store restored from an old copy undoing accepted changes."""
+        apply_change(self.store, ADA).unwrap()
+        table = self.platform.app.table
+        saved = dict(table._item_by_key)
+        apply_change(self.store, BISI).unwrap()
+        self.poll()
+        table._item_by_key.clear()
+        table._item_by_key.update(saved)
+        status = self.poll()
+        self.assertEqual((status.version, status.store_version), (2, 1))
+        self.assertIn("older than 2 in force", status.problem)
+        other = Change("chidi", "fork", "domain-out", "oyo-a")
+        apply_change(self.store, other).unwrap()
+        self.assertIn("other content", self.poll().problem)
+        self.assertEqual([accepted.version for accepted in self.published], [2])
+
+    def test_peers_help_while_the_store_is_down_and_the_store_confirms(self) -> None:
+        """Guards against instances that stay behind, or trust peers over the store."""
+        apply_change(self.store, ADA).unwrap()
+        self.poll()
+        ahead = offer(2, OTHER_LISTS)
+        self.assertIs(self.catalog.ask(ahead), Verdict.STORE_REACHABLE)
+        self.set_down(True)
+        self.clock.advance(3.0)
+        status = self.poll()
+        self.assertNotEqual(status.problem, "")
+        self.assertIs(self.catalog.ask(ahead), Verdict.ADOPTED)
+        self.assertEqual(self.poll().source, "peers")
+        self.set_down(False)
+        apply_change(self.store, BISI).unwrap()
+        self.assertIn("other content", self.poll().problem)
+        self.assertEqual([a.source for a in self.published], [Source.STORE, Source.PEERS])
+
+    def test_store_back_with_the_version_of_the_peers(self) -> None:
+        """Guards against status 'peers' after the store has shown the same version."""
+        apply_change(self.store, ADA).unwrap()
+        row = self.platform.app.table._item_by_key[("damasktide", "configuration")]
+
+        given = OfferConfiguration(1, row["body"]["S"], LISTS)
+        self.assertIs(self.catalog.ask(given), Verdict.ADOPTED)
+        status = self.poll()
+        self.assertEqual((status.version, status.source), (1, "store"))
+
+    def test_slow_store_does_not_delay_offers_of_peers(self) -> None:
+        """Guards against an outage of the store that also blocks the way around it."""
+        self.platform.app.faults.change({"slow_ms": 400})
+        poll = gevent.spawn(self.poller.poll)
+        gevent.sleep(0.01)
+        verdict = self.catalog.ask(offer(1), timeout_s=0.2)
+        self.assertIs(verdict, Verdict.ADOPTED)
+        poll.join()
+
+    def test_poller_polls_each_second(self) -> None:
+        """Guards against a change that takes more than seconds to be in force."""
+        apply_change(self.store, ADA).unwrap()
+        self.poller.start()
+        self.addCleanup(self.poller.stop)
+        gevent.sleep(0.3)
+        apply_change(self.store, BISI).unwrap()
+        gevent.sleep(1.2)
+        self.assertEqual([accepted.version for accepted in self.published], [1, 2])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_changes.py
@@ -0,0 +1,127 @@
+import unittest
+from dataclasses import replace
+
+import gevent
+
+from damasktide.catalog.changes import (
+    Applied,
+    ApplyErrorKind,
+    ApplyResult,
+    Change,
+    apply_change,
+    read_configuration,
+)
+from damasktide.catalog.tests.samples import LISTS, OTHER_LISTS
+from damasktide.store.endpoints import StoreEndpoints
+from damasktide.store.object_client import object_name
+from damasktide.store.store_task import StoreTask
+from damasktide_standins.platform.server import PlatformServer
+
+ADA = Change("ada", "change-ada", "lists", lists=LISTS)
+BISI = Change("bisi", "change-bisi", "lists", lists=OTHER_LISTS)
+
+
+class ApplyChangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = PlatformServer()
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        self.store, self.other_store = self.start_store(), self.start_store()
+
+    def start_store(self) -> StoreTask:
+        url = self.platform.url
+        store = StoreTask(StoreEndpoints(url, url, timeout_s=0.5))
+        store.start()
+        self.addCleanup(store.stop)
+        return store
+
+    def version(self) -> int:
+        return read_configuration(self.other_store).unwrap()[1].version
+
+    def test_row_names_an_object_that_is_stored(self) -> None:
+        """Guards against a version whose lists nobody can fetch."""
+        self.assertEqual(apply_change(self.store, ADA).unwrap(), Applied(1, 0, True))
+        _, configuration = read_configuration(self.store).unwrap()
+        self.assertEqual(configuration.object_name, object_name(LISTS))
+        path = f"damasktide/{configuration.object_name}"
+        self.assertEqual(self.platform.app.object_by_path[path], LISTS)
+
+    def test_racing_operators_get_one_winner_whose_name_the_other_learns(self) -> None:
+        """Guards against one operator's change silently replacing the other's."""
+        jobs = [
+            gevent.spawn(apply_change, self.store, replace(ADA, based_on=0)),
+            gevent.spawn(apply_change, self.other_store, replace(BISI, based_on=0)),
+        ]
+        results: list[ApplyResult] = [job.get(timeout=5) for job in jobs]
+        losers = [r.failure() for r in results if r.value_or(None) is None]
+        self.assertEqual([error.kind for error in losers], [ApplyErrorKind.CONFLICT])
+        winner = read_configuration(self.store).unwrap()[1]
+        self.assertEqual(losers[0].current, winner)
+        self.assertIn(f"{winner.author} has made version 1", losers[0].detail)
+        self.assertEqual(winner.version, 1)
+
+    def test_stale_base_is_a_conflict(self) -> None:
+        """Guards against an apply that undoes a change its author has not seen."""
+        apply_change(self.store, ADA).unwrap()
+        error = apply_change(self.other_store, replace(BISI, based_on=0)).failure()
+        self.assertIs(error.kind, ApplyErrorKind.CONFLICT)
+        self.assertEqual((error.based_on, self.version()), (0, 1))
+
+    def test_lost_response_then_overwritten_by_another_operator(self) -> None:
+        """Guards against a false conflict, or a second apply, after a lost response."""
+        apply_change(self.store, ADA).unwrap()
+        self.platform.app.faults.change({"drop_answers": 1})
+        job = gevent.spawn(apply_change, self.store, replace(BISI, based_on=1))
+        while self.platform.app.faults.current.drop_answers:
+            gevent.sleep(0.001)
+        out = Change("chidi", "change-chidi", "domain-out", "ondo-a", based_on=2)
+        self.assertEqual(apply_change(self.other_store, out).unwrap().version, 3)
+        self.assertEqual(job.get(timeout=5).unwrap(), Applied(2, 1, True))
+        _, current = read_configuration(self.store).unwrap()
+        self.assertEqual((current.version, current.author), (3, "chidi"))
+        self.assertEqual(current.object_name, object_name(OTHER_LISTS))
+
+    def test_repeat_with_the_same_change_id_never_applies_twice(self) -> None:
+        """Guards against a repeat that reverts what others did in the meantime."""
+        change = replace(ADA, based_on=0)
+        apply_change(self.store, change).unwrap()
+        apply_change(self.other_store, BISI).unwrap()
+        self.assertEqual(apply_change(self.other_store, change).unwrap(), Applied(1, 0, True))
+        for number in range(20):
+            edit = "domain-out" if number % 2 else "domain-in"
+            name = f"d{number // 2}" if number % 2 else f"d{number // 2 - 1}"
+            apply_change(self.store, Change("ada", f"n{number}", edit, name)).unwrap()
+        before = self.version()
+        self.assertGreater(before, 17)
+        error = apply_change(self.other_store, change).failure()
+        self.assertEqual((error.kind, self.version()), (ApplyErrorKind.CONFLICT, before))
+
+    def test_outage_says_whether_the_change_may_have_taken_effect(self) -> None:
+        """Guards against an operator who is told 'not applied' although it may be."""
+        apply_change(self.store, ADA).unwrap()
+        job = gevent.spawn(apply_change, self.store, BISI)
+        self.platform.app.faults.change({"drop_answers": 1})
+        while self.platform.app.faults.current.drop_answers:
+            gevent.sleep(0.001)
+        self.platform.app.faults.change({"down": True})
+        self.assertIs(job.get(timeout=8).failure().kind, ApplyErrorKind.UNRESOLVED)
+        error = apply_change(self.store, BISI).failure()
+        self.assertIs(error.kind, ApplyErrorKind.UNAVAILABLE)
+
+    def test_domains_and_instances_out_of_service(self) -> None:
+        """Guards against an edit that loses another one, and versions without a change."""
+        early = apply_change(self.store, Change("ada", "c0", "domain-out", "ondo-a"))
+        self.assertIs(early.failure().kind, ApplyErrorKind.REFUSED)
+        apply_change(self.store, ADA).unwrap()
+        steps = [("domain-out", "ondo-a"), ("instance-out", "i-1"), ("domain-out", "oyo-a")]
+        for number, (edit, name) in enumerate([*steps, ("domain-in", "oyo-a")]):
+            apply_change(self.store, Change("ada", f"n{number}", edit, name)).unwrap()
+        again = apply_change(self.store, Change("ada", "again", "domain-out", "ondo-a"))
+        self.assertEqual(again.unwrap(), Applied(5, 5, False))
+        _, current = read_configuration(self.store).unwrap()
+        self.assertEqual((current.domains_out, current.instances_out), (("ondo-a",), ("i-1",)))
+        self.assertEqual(current.object_name, object_name(LISTS))
+
+
+if __name__ == "__main__":
+    unittest.main()
