Send responses of the platform stand-in without Nagle's algorithm

Cause: each call to the stand-in took 44 to 48 ms; gevent's WSGI server sends head and body separately and does not set TCP_NODELAY, so the body waited for the client's delayed acknowledgement. Ruled out: the client, since urllib3 sets TCP_NODELAY itself. Change: the stand-in's handler sets TCP_NODELAY.

--- a/packages/damasktide-standins/src/damasktide_standins/platform/server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/platform/server.py
@@ -19,6 +19,12 @@
 class _Handler(WSGIHandler):  # type: ignore[misc]
     """Gives the application its socket, so that a fault can close it."""
 
+    def handle(self) -> None:
+        # The server sends head and body separately; with Nagle's algorithm the body would wait
+        # about 40 ms for the client's delayed acknowledgement.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> Environ:
         environ: Environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
