--- a/packages/damasktide-standins/src/damasktide_standins/cluster/layout.py
+++ b/packages/damasktide-standins/src/damasktide_standins/cluster/layout.py
@@ -78,6 +78,6 @@
   basic:
     regions: [{regions}]
     services: [{services}]
-    requests_per_s: 100000
+    requests_per_second: 100000
     max_body_bytes: 65536
 """
--- a/packages/damasktide-standins/src/damasktide_standins/cluster/local_cluster.py
+++ b/packages/damasktide-standins/src/damasktide_standins/cluster/local_cluster.py
@@ -12,7 +12,8 @@
 from urllib3 import PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError
 
-from damasktide_standins.cluster.layout import CUSTOMERS, Layout, ServiceLayout, plans
+from damasktide_standins.cluster.layout import Layout, ServiceLayout
+from damasktide_standins.cluster.lists import apply_lists
 from damasktide_standins.cluster.ports import free_ports
 from damasktide_standins.cluster.processes import ChildProcess
 
@@ -174,20 +175,12 @@
         self.wait_until(lambda: self._status(platform_url) == 200, _READY_TIMEOUT_S, "platform")
         for server_id in self.server_by_id:
             self.start_server(server_id)
-        self.apply_lists()
+        apply_lists(self.layout, f"http://{_HOST}:{self.platform_port}")
         for name in self.instance_by_name:
             self.start_instance(name)
         for name in self.instance_by_name:
             self.wait_until(lambda name=name: self.is_ready(name), _READY_TIMEOUT_S, name)  # type: ignore[misc]
 
-    def apply_lists(self) -> None:
-        """Write the lists and apply them with the operators' command."""
-        (self.path / "customers.yaml").write_text(CUSTOMERS)
-        (self.path / "plans.yaml").write_text(plans(self.layout))
-        exit_code = self.control("apply", *self.list_arguments()).terminate(timeout_s=10.0)
-        if exit_code != 0:
-            raise RuntimeError(f"the lists were not applied, exit code {exit_code}")
-
     def _spawn(self, name: str, module: str, arguments: list[str]) -> None:
         self.process_by_name[name] = ChildProcess(name, module, arguments, self.path)
 
@@ -233,9 +226,7 @@
             "gossip_port": node.gossip_port,
             "peer_port": node.peer_port,
             "peer_key": _PEER_KEY,
-            "seeds": [
-                f"{_HOST}:{other.gossip_port}" for other in self.instance_by_name.values()
-            ],
+            "seeds": [f"{_HOST}:{other.gossip_port}" for other in self.instance_by_name.values()],
             "domains": dict(self.layout.region_by_domain),
             "platform": {
                 "table_url": platform_url,
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Shows one request of each kind through separate processes."""
--- a/packages/damasktide/src/damasktide/admission/checks.py
+++ b/packages/damasktide/src/damasktide/admission/checks.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from returns.result import Failure
+from returns.pipeline import is_successful
 
 from damasktide.admission.refusals import Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest, CallerRequest
@@ -34,7 +34,7 @@
         tuple(sorted(request.home_regions or ())),
         len(request.body),
     )
-    if isinstance(checked, Failure):
+    if not is_successful(checked):
         return checked.failure()
     entitlement = checked.unwrap()
     service = service_by_name.get(request.service)
--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -41,6 +41,8 @@
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.store_task import StoreTask
 
+EXIT_TASK_FAILED = 1
+
 
 class EntryInstance:
     """All tasks of one instance.
@@ -55,6 +57,7 @@
         self._settings = settings
         self._clock = MonotonicClock()
         self._stopped = Event()
+        self._has_failed = False
         self.own = _new_instance(settings)
         self._catalog_snapshot: Published[Catalog | None] = Published(None)
         self._topology: Published[Topology | None] = Published(None)
@@ -89,17 +92,19 @@
         self._peer_server = self._build_peer_server()
         self._server = self._build_http_server()
 
-    def run(self) -> None:
-        """Start all tasks and serve until :meth:`stop` is called."""
-        for task in self._tasks():
+    def run(self) -> int:
+        """Start all tasks, serve until :meth:`stop` is called and return the exit code."""
+        tasks = self._tasks()
+        for task in tasks:
             task.start()
         self._server.start()
         logger.bind(instance=self.own.instance_id).info("instance started")
         self._stopped.wait()
         self._server.stop(timeout=1)
-        for task in reversed(self._tasks()):
+        for task in reversed(tasks):
             task.stop()
         logger.bind(instance=self.own.instance_id).info("instance stopped")
+        return EXIT_TASK_FAILED if self._has_failed else 0
 
     def stop(self) -> None:
         """End :meth:`run`."""
@@ -107,9 +112,7 @@
 
     def _tasks(self) -> tuple[Task, ...]:
         settings = self._settings
-        service_tasks = tuple(
-            task for tasks in self._services.values() for task in tasks.all()
-        )
+        service_tasks = tuple(task for tasks in self._services.values() for task in tasks.all())
         live_list = LiveListTask(
             settings.platform.live_list_url,
             self._topology_task.tell,
@@ -135,9 +138,7 @@
             settings=self._settings,
             peers=self._peers,
             clock=self._clock,
-            instance_by_id=lambda: {
-                item.instance_id: item for item in self._view.value.alive
-            },
+            instance_by_id=lambda: {item.instance_id: item for item in self._view.value.alive},
             on_failure=self._on_failure,
         )
 
@@ -216,6 +217,7 @@
 
     def _on_failure(self, failure: TaskFailed) -> None:
         logger.bind(task=failure.task_name, reason=failure.reason).error("task failed, stopping")
+        self._has_failed = True
         self.stop()
 
 
--- a/packages/damasktide/src/damasktide/assembly/shares.py
+++ b/packages/damasktide/src/damasktide/assembly/shares.py
@@ -41,9 +41,7 @@
         """Take over live instances and targets."""
         target_by_id = {target.server_id: target for target in topology.targets}
         alive = topology.alive_instances()
-        self._view.publish(
-            replace(self._view.value, alive=alive, target_by_id=target_by_id)
-        )
+        self._view.publish(replace(self._view.value, alive=alive, target_by_id=target_by_id))
         assert self.limiter is not None
         members = tuple(
             Member(instance, topology.seen.state_by_id[instance_id])
@@ -71,7 +69,4 @@
             if target.service == service
         }
         assert self.limiter is not None
-        self.limiter.tell(
-            CapacityChanged(service, sum(slots_by_server.values()), slots_by_server)
-        )
-
+        self.limiter.tell(CapacityChanged(service, sum(slots_by_server.values()), slots_by_server))
--- a/packages/damasktide/src/damasktide/forwarding/execution.py
+++ b/packages/damasktide/src/damasktide/forwarding/execution.py
@@ -73,11 +73,7 @@
     """Return the id of the instance that sends an unkeyed request to a target."""
     if admitted.is_idempotent:
         return view.own.instance_id
-    ids = [
-        instance.instance_id
-        for instance in view.alive
-        if instance.domain == view.own.domain
-    ]
+    ids = [instance.instance_id for instance in view.alive if instance.domain == view.own.domain]
     request = admitted.request
     chosen = gatekeeper_of_request(ids, request.service, request.request_id)
     return chosen if chosen is not None else view.own.instance_id
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -125,9 +125,7 @@
         if peer is None or remaining_s <= 0:
             return Refusal(RefusalCode.NO_OWNER, f"instance {instance_id} is not reachable", 1)
         body = codec.encode_request(admitted)
-        reply = self._parts.peers.call(
-            peer.host, peer.peer_port, FORWARD_KIND, body, remaining_s
-        )
+        reply = self._parts.peers.call(peer.host, peer.peer_port, FORWARD_KIND, body, remaining_s)
         if isinstance(reply, Success):
             return codec.decode_result(reply.unwrap())
         error = reply.failure()
