Add the lifecycle of an instance

Cause: a planned stop must interrupt no request, and a failed task must end the process after a drain. Ruled out: asking the lifecycle task about each request (two switches a request); stopping as soon as the count is 0, because a request may be accepted and not yet counted.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Health, readiness and drain of an instance."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/lifecycle/state.py
@@ -0,0 +1,142 @@
+"""State machine of an instance from its start to its stop."""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+# Time for the platform's load balancer to learn that the instance is not ready.
+SERVE_AFTER_DRAIN_S = 2.0
+# Callers on connections that were kept alive get a refusal instead of a reset.
+MIN_REFUSE_S = 0.5
+LONGEST_DEADLINE_S = 60.0
+
+
+class Phase(Enum):
+    """Phases in the order in which they follow each other."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    REFUSING = "refusing"
+    STOPPED = "stopped"
+
+
+_SERVING = frozenset({Phase.READY, Phase.LEAVING})
+_BEFORE_DRAIN = frozenset({Phase.STARTING, Phase.READY})
+
+
+@dataclass(frozen=True, slots=True)
+class LifecycleSnapshot:
+    """What request handlers and probes read.
+
+    Attributes
+    ----------
+    phase
+        Present phase.
+    failed_task
+        Name of the first task that failed, or an empty string.
+    """
+
+    phase: Phase = Phase.STARTING
+    failed_task: str = ""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer should send new connections."""
+        return self.phase is Phase.READY
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether new requests are served; otherwise they are refused as draining."""
+        return self.phase in _SERVING
+
+    @property
+    def closes_connections(self) -> bool:
+        """Whether responses ask callers to open a new connection, to another instance."""
+        return self.phase not in _BEFORE_DRAIN
+
+    @property
+    def exit_code(self) -> int:
+        """Exit code of the process: 1 after a failed task, otherwise 0."""
+        return 1 if self.failed_task else 0
+
+
+class Lifecycle:
+    """Decides when an instance is ready, refuses requests and stops.
+
+    Times are seconds on the monotonic clock.
+
+    Parameters
+    ----------
+    serve_after_drain_s
+        Seconds for which requests are still served after readiness has dropped.
+    longest_deadline_s
+        Seconds after which no request that was accepted can still be wanted.
+    """
+
+    def __init__(
+        self,
+        serve_after_drain_s: float = SERVE_AFTER_DRAIN_S,
+        longest_deadline_s: float = LONGEST_DEADLINE_S,
+    ) -> None:
+        self._serve_after_drain_s = serve_after_drain_s
+        self._longest_deadline_s = longest_deadline_s
+        self._snapshot = LifecycleSnapshot()
+        self._in_flight = 0
+        self._phase_since = 0.0
+        self._has_counted_all = False
+
+    @property
+    def snapshot(self) -> LifecycleSnapshot:
+        """The present state."""
+        return self._snapshot
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have started and not finished."""
+        return self._in_flight
+
+    def mark_ready(self, now: float) -> None:
+        """End the start; without effect once a drain has begun."""
+        if self._snapshot.phase is Phase.STARTING:
+            self._enter(Phase.READY, now)
+
+    def begin_drain(self, now: float) -> None:
+        """Drop readiness; a second call does not start the drain again."""
+        if self._snapshot.phase in _BEFORE_DRAIN:
+            self._enter(Phase.LEAVING, now)
+
+    def fail_task(self, task_name: str, now: float) -> None:
+        """Drain because a task failed; the first failure decides the exit code."""
+        if not self._snapshot.failed_task:
+            self._snapshot = replace(self._snapshot, failed_task=task_name)
+        self.begin_drain(now)
+
+    def start_request(self) -> None:
+        """Count a request that was accepted."""
+        self._in_flight += 1
+
+    def finish_request(self) -> None:
+        """Count a request whose response is written."""
+        self._in_flight -= 1
+
+    def confirm_counts(self) -> None:
+        """Note that all requests accepted before the refusals have been counted."""
+        if self._snapshot.phase is Phase.REFUSING:
+            self._has_counted_all = True
+
+    def tick(self, now: float) -> None:
+        """Go on to the next phase if it is time."""
+        elapsed_s = now - self._phase_since
+        if self._snapshot.phase is Phase.LEAVING and elapsed_s >= self._serve_after_drain_s:
+            self._enter(Phase.REFUSING, now)
+        elif self._snapshot.phase is Phase.REFUSING and self._may_stop(elapsed_s):
+            self._enter(Phase.STOPPED, now)
+
+    def _may_stop(self, elapsed_s: float) -> bool:
+        if elapsed_s >= self._longest_deadline_s:
+            return True
+        return elapsed_s >= MIN_REFUSE_S and self._has_counted_all and self._in_flight == 0
+
+    def _enter(self, phase: Phase, now: float) -> None:
+        self._snapshot = replace(self._snapshot, phase=phase)
+        self._phase_since = now
