--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/app.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/app.py
@@ -114,7 +114,7 @@
 
     def __call__(self, service: str, operation: str, key: str = "") -> HTTPResponse:
         if service != self._settings.service:
-            return _not_run(404, "unknown service")
+            return _not_run(404, "unknown service", request.get_header("Idempotency-Key", ""))
         body_length = len(request.body.read())
         arrival = self._arrival(key)
         cancelled = Event()
@@ -122,20 +122,23 @@
         if start.verdict is Verdict.RESET:
             _reset_connection()
         if start.verdict is not Verdict.RUN:
-            return _not_run(_STATUS_BY_VERDICT[start.verdict], start.verdict.value)
+            status = _STATUS_BY_VERDICT[start.verdict]
+            return _not_run(status, start.verdict.value, arrival.request_id)
         finish = self._run(start, arrival, cancelled)
         if finish.reset:
             _reset_connection()
+        request_id = f"other-{start.run_id}" if finish.cross else arrival.request_id
+        headers = {"Idempotency-Key": request_id}
         if finish.ending is not Ending.COMPLETED:
-            return _json(500, {"error": finish.ending.value, "request_id": arrival.request_id})
+            return _json(500, {"error": finish.ending.value}, headers)
         answer = {
             "server_id": self._settings.server_id,
-            "request_id": arrival.request_id,
+            "request_id": request_id,
             "key": key,
             "operation": operation,
             "body_length": body_length,
         }
-        response = _json(200, answer, {"Idempotency-Key": arrival.request_id})
+        response = _json(200, answer, headers)
         return _truncated(response) if finish.truncate else response
 
     def _enter(self, arrival: Arrival, cancelled: Event) -> Start:
@@ -167,8 +170,9 @@
     return HTTPResponse(body, status, {"Content-Type": "application/json", **(headers or {})})
 
 
-def _not_run(status: int, reason: str) -> HTTPResponse:
-    return _json(status, {"error": reason}, {"Damasktide-Not-Run": "1"})
+def _not_run(status: int, reason: str, request_id: str) -> HTTPResponse:
+    headers = {"Damasktide-Not-Run": "1", "Idempotency-Key": request_id}
+    return _json(status, {"error": reason}, headers)
 
 
 def _reset_connection() -> None:
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/execution.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/execution.py
@@ -103,13 +103,14 @@
     ----------
     ending
         Whether the request had its effect.
-    reset, truncate
+    reset, truncate, cross
         Faults that apply to the response.
     """
 
     ending: Ending
     reset: bool = False
     truncate: bool = False
+    cross: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +248,9 @@
         if self.faults.truncations:
             self.faults = self.faults.spend("truncations")
             return Finish(Ending.COMPLETED, truncate=True)
+        if self.faults.crossings:
+            self.faults = self.faults.spend("crossings")
+            return Finish(Ending.COMPLETED, cross=True)
         return Finish(Ending.COMPLETED)
 
     def _load(self) -> Load:
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/faults.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/faults.py
@@ -19,6 +19,8 @@
         Time at which the slowness ends.
     truncations
         Responses still to be cut short.
+    crossings
+        Responses that still will name another request.
     resets_before_run, resets_after_run
         Connections still to be reset after the request was read.
     lag_s
@@ -36,6 +38,7 @@
     slow_factor: float = 1.0
     slow_until: float = 0.0
     truncations: int = 0
+    crossings: int = 0
     resets_before_run: int = 0
     resets_after_run: int = 0
     lag_s: float = 0.0
@@ -108,6 +111,11 @@
     server.faults = replace(server.faults, truncations=int(parameters["count"]))
 
 
+@FAULTS.register("cross")
+def _cross(server: Faulty, parameters: Mapping[str, Any], now: float) -> None:
+    server.faults = replace(server.faults, crossings=int(parameters["count"]))
+
+
 @FAULTS.register("reset")
 def _reset(server: Faulty, parameters: Mapping[str, Any], now: float) -> None:
     field = "resets_after_run" if parameters["ran"] else "resets_before_run"
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/grants.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/grants.py
@@ -62,10 +62,13 @@
     ----------
     boot_id
         Random id of this boot.
+    is_checked
+        Whether runs end with their term; otherwise they are counted as draining after it.
     """
 
-    def __init__(self, boot_id: str) -> None:
+    def __init__(self, boot_id: str, is_checked: bool = True) -> None:
         self._boot_id = boot_id
+        self._is_checked = is_checked
         self._term_number = 1
         self._version = 0
         self._held: Grant | None = None
@@ -154,7 +157,7 @@
         return sum(
             1
             for shard, term in self._running.values()
-            if term == self._term and shard not in held_shards
+            if shard not in held_shards and (term == self._term or not self._is_checked)
         )
 
 
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/server.py
@@ -73,7 +73,8 @@
     ) -> None:
         clock = clock or MonotonicClock()
         log = log_file.open("a", encoding="utf-8") if log_file else None
-        self._task = ExecutionTask(Execution(settings, GrantLedger(new_boot_id())), clock, log)
+        ledger = GrantLedger(new_boot_id(), settings.checked)
+        self._task = ExecutionTask(Execution(settings, ledger), clock, log)
         app = build_app(settings, self._task, clock)
         self._listener = _Listener(port, app, settings.connections)
 
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
@@ -92,7 +92,7 @@
         self.assertEqual(job.get(timeout=0.2).status, 500)
         self.assertEqual(self.executions()[0]["ending"], "cancelled")
 
-    def test_reset_and_truncation_are_seen_by_the_client(self) -> None:
+    def test_reset_truncated_and_crossed_answers_are_seen_by_the_client(self) -> None:
         """Guards against fault tests that pass because the fault does nothing."""
         base = self.serve(checked=False)
         cases = {"reset": {"count": 1, "ran": False}, "truncate": {"count": 1}}
@@ -103,9 +103,11 @@
         self.http.request("POST", f"{base}/faults/reset", json={"count": 1, "ran": True})
         with self.assertRaises(HTTPError):
             self.book(base, "ran")
-        self.assertEqual(self.book(base, "after").status, 200)
+        self.http.request("POST", f"{base}/faults/cross", json={"count": 1})
+        self.assertNotEqual(self.book(base, "cross").json()["request_id"], "cross")
+        self.assertEqual(self.book(base, "after").json()["request_id"], "after")
         ids = [run["request_id"] for run in self.executions()]
-        self.assertEqual(ids, ["truncate", "ran", "after"])
+        self.assertEqual(ids, ["truncate", "ran", "cross", "after"])
 
     def test_cold_start_voids_the_grant_and_collapses_under_load(self) -> None:
         """Guards against a cold start that the router can't notice or overload."""
