Connect lifecycle, telemetry and version pulling to the instance

Cause: a drain, counters and announced versions had no place in the running instance. Ruled out: counting inside the request service, which would tie it to the metrics. Change: request gate with drain and counters, puller of newer versions from peers, configuration offers between instances.

--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -2,46 +2,62 @@
 
 import secrets
 
-from gevent.event import Event
+import gevent
 from gevent.pywsgi import WSGIServer
 from loguru import logger
 
 from damasktide.assembly.operator_queries import OperatorQueries
+from damasktide.assembly.request_gate import RequestGate
 from damasktide.assembly.services import (
     SharedParts,
     build_services,
     register_ownership_calls,
 )
 from damasktide.assembly.shares import ShareDistributor
+from damasktide.assembly.version_puller import (
+    CONFIGURATION_VERSION,
+    PullContext,
+    VersionPullerTask,
+)
 from damasktide.catalog.adoption import CatalogAccepted
 from damasktide.catalog.catalog_task import CatalogTask
 from damasktide.catalog.lists import Catalog
+from damasktide.catalog.offers import CONFIGURATION_KIND, encode_offer
 from damasktide.catalog.poller import CatalogPoller
 from damasktide.discovery.live_list import LiveListTask
-from damasktide.discovery.topology import InstancesSeen, OutOfService, Topology, TopologyTask
+from damasktide.discovery.topology import OutOfService, Topology, TopologyTask
 from damasktide.forwarding.execution import ExecutionView
 from damasktide.forwarding.request_service import FORWARD_KIND, RequestService, ServiceParts
 from damasktide.forwarding.retry_budget import RetryBudgetTask
 from damasktide.forwarding.router import Router
 from damasktide.forwarding.upstream import Upstream
-from damasktide.frontend.app import AppHandlers, HealthAnswer, build_app
+from damasktide.frontend.app import AppHandlers, build_app
 from damasktide.frontend.parsing import RequestBounds
 from damasktide.idempotency.gatekeeper import GatekeeperTask
 from damasktide.idempotency.memory import RequestMemory
+from damasktide.lifecycle.state import Lifecycle, LifecycleSnapshot, Phase
+from damasktide.lifecycle.task import BeginDrain, LifecycleTask, MarkReady
 from damasktide.limits.messages import VolumesChanged
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance, InstanceState
+from damasktide.membership.messages import AnnounceVersion, Depart, Leave, MembershipView
+from damasktide.membership.task import MembershipTask, Subscribe
 from damasktide.peering.client import PeerClient
 from damasktide.peering.server import CallHandler, PeerServer
 from damasktide.runtime.clock import MonotonicClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.registry import Registry
-from damasktide.runtime.task import Task, TaskFailed
+from damasktide.runtime.task import Task
 from damasktide.settings.model import Settings
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.store_task import StoreTask
+from damasktide.telemetry.metrics import retry_metric
+from damasktide.telemetry.task import Count, TelemetryTask
+
+READY_POLL_S = 0.05
+HTTP_STOP_TIMEOUT_S = 5.0
 
-EXIT_TASK_FAILED = 1
+_SEED_BITS = 64
 
 
 class EntryInstance:
@@ -56,80 +72,109 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._clock = MonotonicClock()
-        self._stopped = Event()
-        self._has_failed = False
         self.own = _new_instance(settings)
-        self._catalog_snapshot: Published[Catalog | None] = Published(None)
-        self._topology: Published[Topology | None] = Published(None)
-        self._view = Published(ExecutionView(self.own))
-        self._peers = PeerClient(self.own.instance_id, settings.peer_key, self._clock)
-        self._services = build_services(self._shared_parts())
-        self._shares = ShareDistributor(self._services, self._view)
-        self._limiter = LimiterTask(
-            self.own, self._shares.distribute, self._clock, self._on_failure
-        )
-        self._shares.limiter = self._limiter
-        self._budget = RetryBudgetTask(self._clock, self._on_failure)
-        self._gatekeeper = GatekeeperTask(RequestMemory(), self._clock, self._on_failure)
-        self._topology_task = TopologyTask(
-            InstancesSeen(
-                {self.own.instance_id: self.own}, {self.own.instance_id: InstanceState.ALIVE}
-            ),
-            {name: tasks.ownership for name, tasks in self._services.items()},
-            {name: tasks.balancer for name, tasks in self._services.items()},
-            self._on_topology,
-            on_failure=self._on_failure,
-        )
-        self._catalog = CatalogTask([self._on_catalog], self._clock, self._on_failure)
-        self._store = StoreTask(
-            StoreEndpoints(settings.platform.table_url, settings.platform.object_url),
-            "store/catalog",
-            self._clock,
-            self._on_failure,
-        )
-        self._upstream = Upstream()
+        self._build_snapshots()
+        self._build_tasks()
         self._requests = RequestService(self._service_parts())
+        self._gate = RequestGate(
+            self._requests, self._lifecycle, self._lifecycle_snapshot, self._record
+        )
         self._peer_server = self._build_peer_server()
         self._server = self._build_http_server()
 
     def run(self) -> int:
-        """Start all tasks, serve until :meth:`stop` is called and return the exit code."""
-        tasks = self._tasks()
-        for task in tasks:
+        """Start all tasks, serve until the instance has drained and return the exit code."""
+        for task in self._tasks:
             task.start()
+        self._peer_server.start()
+        self._membership.tell(Subscribe(self._topology_task))
+        self._membership.tell(Subscribe(self._version_puller))
         self._server.start()
+        gevent.spawn(self._mark_ready)
         logger.bind(instance=self.own.instance_id).info("instance started")
-        self._stopped.wait()
-        self._server.stop(timeout=1)
-        for task in reversed(tasks):
+        exit_code = self._lifecycle.wait()
+        self._server.stop(timeout=HTTP_STOP_TIMEOUT_S)
+        self._membership.tell(Depart())
+        self._peer_server.stop()
+        for task in reversed(self._tasks):
             task.stop()
         logger.bind(instance=self.own.instance_id).info("instance stopped")
-        return EXIT_TASK_FAILED if self._has_failed else 0
+        return exit_code if exit_code is not None else 1
 
-    def stop(self) -> None:
-        """End :meth:`run`."""
-        self._stopped.set()
+    def drain(self) -> None:
+        """Begin a graceful stop."""
+        self._lifecycle.tell(BeginDrain("signal"))
 
-    def _tasks(self) -> tuple[Task, ...]:
+    def _build_snapshots(self) -> None:
+        self._catalog_snapshot: Published[Catalog | None] = Published(None)
+        self._topology: Published[Topology | None] = Published(None)
+        self._lifecycle_snapshot = Published(LifecycleSnapshot())
+        self._view = Published(ExecutionView(self.own))
+
+    def _build_tasks(self) -> None:
         settings = self._settings
-        service_tasks = tuple(task for tasks in self._services.values() for task in tasks.all())
-        live_list = LiveListTask(
-            settings.platform.live_list_url,
-            self._topology_task.tell,
-            on_failure=self._on_failure,
+        self._lifecycle = LifecycleTask(
+            Lifecycle(), self._clock, self._lifecycle_snapshot, [self._on_phase]
         )
-        return (
+        fail = self._lifecycle.tell
+        self._telemetry = self._build_telemetry()
+        self._membership = MembershipTask(
+            self.own,
+            [(seed.host, seed.port) for seed in settings.seeds],
+            settings.peer_key,
+            secrets.randbits(_SEED_BITS),
+            self._clock,
+            fail,
+        )
+        self._peers = PeerClient(self.own.instance_id, settings.peer_key, self._clock)
+        self._services = build_services(self._shared_parts())
+        self._shares = ShareDistributor(self._services, self._view)
+        self._limiter = LimiterTask(self.own, self._shares.distribute, self._clock, fail)
+        self._shares.limiter = self._limiter
+        self._budget = RetryBudgetTask(self._clock, fail)
+        self._gatekeeper = GatekeeperTask(RequestMemory(), self._clock, fail)
+        self._topology_task = self._build_topology()
+        self._catalog = CatalogTask([self._on_catalog], self._clock, fail)
+        endpoints = StoreEndpoints(settings.platform.table_url, settings.platform.object_url)
+        store = StoreTask(endpoints, "store/catalog", self._clock, fail)
+        self._version_puller = VersionPullerTask(
+            PullContext(self._peers, self._catalog, self._services),
+            self._instance_by_id,
+            on_failure=fail,
+        )
+        self._tasks: tuple[Task, ...] = (
+            self._lifecycle,
+            *([self._telemetry] if self._telemetry else []),
+            self._membership,
             self._peers,
-            self._peer_server,
-            *service_tasks,
+            *(task for tasks in self._services.values() for task in tasks.all()),
             self._limiter,
             self._budget,
             self._gatekeeper,
             self._topology_task,
-            live_list,
-            self._store,
+            LiveListTask(
+                settings.platform.live_list_url, self._topology_task.tell, on_failure=fail
+            ),
+            store,
             self._catalog,
-            CatalogPoller(self._store, self._catalog, self._on_failure),
+            self._version_puller,
+            CatalogPoller(store, self._catalog, fail),
+        )
+
+    def _build_telemetry(self) -> TelemetryTask | None:
+        statsd = self._settings.statsd
+        if statsd is None:
+            return None
+        return TelemetryTask(statsd.host, statsd.port, self._lifecycle.tell)
+
+    def _build_topology(self) -> TopologyTask:
+        own_id = self.own.instance_id
+        return TopologyTask(
+            MembershipView({own_id: self.own}, {own_id: InstanceState.ALIVE}, float("-inf")),
+            {name: tasks.ownership for name, tasks in self._services.items()},
+            {name: tasks.balancer for name, tasks in self._services.items()},
+            self._on_topology,
+            on_failure=self._lifecycle.tell,
         )
 
     def _shared_parts(self) -> SharedParts:
@@ -138,14 +183,19 @@
             settings=self._settings,
             peers=self._peers,
             clock=self._clock,
-            instance_by_id=lambda: {item.instance_id: item for item in self._view.value.alive},
-            on_failure=self._on_failure,
+            instance_by_id=self._instance_by_id,
+            announce=lambda name, version: self._membership.tell(AnnounceVersion(name, version)),
+            on_failure=self._lifecycle.tell,
         )
 
     def _service_parts(self) -> ServiceParts:
         route_by_service = {name: tasks.route for name, tasks in self._services.items()}
         router = Router(
-            route_by_service, self._upstream, self._budget, self._limiter, lambda _reason: None
+            route_by_service,
+            Upstream(),
+            self._budget,
+            self._limiter,
+            lambda reason: self._record(Count(retry_metric(reason))),
         )
         return ServiceParts(
             catalog=self._catalog_snapshot,
@@ -156,12 +206,14 @@
             limiter=self._limiter,
             gatekeeper=self._gatekeeper,
             peers=self._peers,
-            on_refused=lambda _refusal: None,
         )
 
     def _build_peer_server(self) -> PeerServer:
         handlers: Registry[str, CallHandler] = Registry("peer call")
-        handlers.register(FORWARD_KIND)(self._requests.handle_forwarded)
+        handlers.register(FORWARD_KIND)(self._gate.handle_forwarded)
+        handlers.register(CONFIGURATION_KIND)(
+            lambda _sender, _body: encode_offer(self._catalog.accepted)
+        )
         register_ownership_calls(handlers, self._services, self.own.instance_id)
         return PeerServer(
             self.own.instance_id,
@@ -169,7 +221,7 @@
             self.own.peer_port,
             self._settings.peer_key,
             handlers,
-            self._on_failure,
+            self._lifecycle.tell,
         )
 
     def _build_http_server(self) -> WSGIServer:
@@ -178,24 +230,38 @@
             self.own.instance_id, self._services, self._catalog, self._topology
         )
         handlers = AppHandlers(
-            handle=self._requests.handle,
-            health=lambda: HealthAnswer(True, "running"),
-            readiness=self._readiness,
+            handle=self._gate.handle,
+            lifecycle=self._lifecycle_snapshot,
             query_by_name=queries.by_name(),
-            on_refused=lambda _refusal: None,
+            on_refused=self._gate.count_refusal,
         )
         bounds = RequestBounds(settings.max_body_bytes, settings.max_header_bytes)
         address = (settings.listen.host, settings.listen.port)
         return WSGIServer(address, build_app(handlers, bounds), log=None)
 
-    def _readiness(self) -> HealthAnswer:
-        if self._catalog_snapshot.value is None:
-            return HealthAnswer(False, "no configuration has been accepted yet")
-        if any(tasks.route.owners.value.shard_map is None for tasks in self._services.values()):
-            return HealthAnswer(False, "no shard map has been adopted yet")
-        if not self._view.value.has_share():
-            return HealthAnswer(False, "no share of any backend server yet")
-        return HealthAnswer(True, "ready")
+    def _instance_by_id(self) -> dict[str, Instance]:
+        topology = self._topology.value
+        return dict(topology.seen.instance_by_id) if topology else {}
+
+    def _mark_ready(self) -> None:
+        while not self._can_serve():
+            gevent.sleep(READY_POLL_S)
+        self._lifecycle.tell(MarkReady())
+
+    def _can_serve(self) -> bool:
+        has_maps = all(
+            tasks.route.owners.value.shard_map is not None for tasks in self._services.values()
+        )
+        has_catalog = self._catalog_snapshot.value is not None
+        return has_maps and has_catalog and self._view.value.has_share()
+
+    def _record(self, message: object) -> None:
+        if self._telemetry is not None:
+            self._telemetry.tell(message)
+
+    def _on_phase(self, snapshot: LifecycleSnapshot) -> None:
+        if snapshot.phase is Phase.LEAVING:
+            self._membership.tell(Leave())
 
     def _on_topology(self, topology: Topology) -> None:
         self._topology.publish(topology)
@@ -203,6 +269,7 @@
 
     def _on_catalog(self, accepted: CatalogAccepted) -> None:
         self._catalog_snapshot.publish(accepted.catalog)
+        self._membership.tell(AnnounceVersion(CONFIGURATION_VERSION, accepted.version))
         configuration = accepted.configuration
         self._topology_task.tell(
             OutOfService(
@@ -215,11 +282,6 @@
         }
         self._limiter.tell(VolumesChanged(volumes))
 
-    def _on_failure(self, failure: TaskFailed) -> None:
-        logger.bind(task=failure.task_name, reason=failure.reason).error("task failed, stopping")
-        self._has_failed = True
-        self.stop()
-
 
 def _new_instance(settings: Settings) -> Instance:
     return Instance(
--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/request_gate.py
@@ -0,0 +1,80 @@
+"""Counts and times requests, and refuses them while the instance drains."""
+
+import time
+from collections.abc import Callable
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.admission.request import Answer, CallerRequest
+from damasktide.forwarding.request_service import RequestService
+from damasktide.lifecycle.state import LifecycleSnapshot
+from damasktide.lifecycle.task import LifecycleTask, RequestFinished, RequestStarted
+from damasktide.runtime.published import Published
+from damasktide.telemetry.metrics import (
+    REQUEST_DURATION,
+    REQUESTS_ANSWERED,
+    REQUESTS_RECEIVED,
+    refusal_metric,
+)
+from damasktide.telemetry.task import Count, Observe
+
+
+class RequestGate:
+    """Stands before the request service.
+
+    Parameters
+    ----------
+    requests
+        Serves the requests.
+    lifecycle
+        Task that counts the requests in flight.
+    snapshot
+        State of the instance.
+    record
+        Takes :class:`Count` and :class:`Observe` messages.
+    """
+
+    def __init__(
+        self,
+        requests: RequestService,
+        lifecycle: LifecycleTask,
+        snapshot: Published[LifecycleSnapshot],
+        record: Callable[[object], None],
+    ) -> None:
+        self._requests = requests
+        self._lifecycle = lifecycle
+        self._snapshot = snapshot
+        self._record = record
+
+    def handle(self, request: CallerRequest) -> Answer | Refusal:
+        """Serve a caller's request."""
+        started = time.monotonic()
+        self._record(Count(REQUESTS_RECEIVED))
+        result = self._handle(request)
+        if isinstance(result, Refusal):
+            self.count_refusal(result)
+        else:
+            self._record(Count(REQUESTS_ANSWERED))
+        self._record(Observe(REQUEST_DURATION, (time.monotonic() - started) * 1000))
+        return result
+
+    def handle_forwarded(self, sender_id: str, body: bytes) -> bytes:
+        """Serve a request that another instance admitted."""
+        self._lifecycle.tell(RequestStarted())
+        try:
+            return self._requests.handle_forwarded(sender_id, body)
+        finally:
+            self._lifecycle.tell(RequestFinished())
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Count a refusal by its code."""
+        self._record(Count(refusal_metric(refusal.code)))
+
+    def _handle(self, request: CallerRequest) -> Answer | Refusal:
+        if not self._snapshot.value.accepts_requests:
+            phase = self._snapshot.value.phase.value
+            return Refusal(RefusalCode.DRAINING, f"this instance is {phase}", 1)
+        self._lifecycle.tell(RequestStarted())
+        try:
+            return self._requests.handle(request)
+        finally:
+            self._lifecycle.tell(RequestFinished())
--- a/packages/damasktide/src/damasktide/assembly/services.py
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -86,6 +86,8 @@
         Source of time.
     instance_by_id
         Returns the known instances.
+    announce
+        Announces the version of something that this instance holds.
     on_failure
         Called when a task fails.
     """
@@ -95,6 +97,7 @@
     peers: PeerClient
     clock: Clock
     instance_by_id: Callable[[], Mapping[str, Instance]]
+    announce: Callable[[str, int], None]
     on_failure: Callable[[TaskFailed], None]
 
 
@@ -138,6 +141,7 @@
         context,
         snapshot,
         on_boot=lambda server_id, boot_id: balancer.tell(BootSeen(server_id, boot_id)),
+        on_version=lambda version: shared.announce(f"ownership/{service.name}", version),
         on_failure=shared.on_failure,
     )
     route = ServiceRoute(service.name, space, snapshot, balancer)
--- a/packages/damasktide/src/damasktide/assembly/shares.py
+++ b/packages/damasktide/src/damasktide/assembly/shares.py
@@ -48,7 +48,6 @@
             for instance_id, instance in topology.seen.instance_by_id.items()
         )
         self.limiter.tell(MembersChanged(members))
-        self.limiter.tell(HeardFromPeer())
         for service in self._tasks_by_service:
             self.limiter.tell(ServiceTargetsChanged(service, topology.usable_targets(service)))
 
--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/version_puller.py
@@ -0,0 +1,115 @@
+"""Fetches newer versions of the configuration and the maps from peers that announce them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from loguru import logger
+from returns.result import Failure
+
+from damasktide.assembly.services import ServiceTasks
+from damasktide.catalog.adoption import CatalogAccepted, OfferConfiguration
+from damasktide.catalog.catalog_task import CatalogTask
+from damasktide.catalog.offers import CONFIGURATION_KIND, decode_offer
+from damasktide.membership.instances import Instance
+from damasktide.membership.messages import VersionSeen
+from damasktide.ownership.codec import encode_service
+from damasktide.ownership.executor import MAP_KIND
+from damasktide.ownership.messages import AdoptRequested
+from damasktide.ownership.shard_map import decode_map
+from damasktide.peering.client import PeerClient
+from damasktide.runtime.registry import Registry
+from damasktide.runtime.task import Task, handles
+
+CONFIGURATION_VERSION = "configuration"
+OWNERSHIP_PREFIX = "ownership/"
+
+_PULL_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class PullContext:
+    """What the pullers use.
+
+    Attributes
+    ----------
+    peers
+        Calls to other instances.
+    catalog
+        Task that judges configurations.
+    tasks_by_service
+        Tasks that adopt maps.
+    """
+
+    peers: PeerClient
+    catalog: CatalogTask
+    tasks_by_service: Mapping[str, ServiceTasks]
+
+
+Puller = Callable[[PullContext, Instance, VersionSeen], None]
+
+pullers: Registry[str, Puller] = Registry("puller")
+
+
+class VersionPullerTask(Task):
+    """Pulls what a peer announces at a higher version, one at a time.
+
+    Parameters
+    ----------
+    context
+        What the pullers use.
+    instance_by_id
+        Returns the known instances.
+    """
+
+    def __init__(
+        self,
+        context: PullContext,
+        instance_by_id: Callable[[], Mapping[str, Instance]],
+        **kwargs: Any,
+    ) -> None:
+        super().__init__("version-puller", **kwargs)
+        self._context = context
+        self._instance_by_id = instance_by_id
+
+    @handles(VersionSeen)
+    def _pull(self, message: VersionSeen) -> None:
+        instance = self._instance_by_id().get(message.instance_id)
+        prefix = message.name.partition("/")[0]
+        if instance is not None and prefix in pullers:
+            pullers.get(prefix)(self._context, instance, message)
+
+
+@pullers.register("ownership")
+def _pull_map(context: PullContext, peer: Instance, seen: VersionSeen) -> None:
+    service = seen.name.removeprefix(OWNERSHIP_PREFIX)
+    tasks = context.tasks_by_service.get(service)
+    snapshot = tasks.ownership.snapshot if tasks else None
+    if tasks is None or (
+        snapshot is not None
+        and snapshot.shard_map is not None
+        and snapshot.shard_map.version >= seen.version
+    ):
+        return
+    body = _call(context, peer, MAP_KIND, encode_service(service))
+    if body:
+        tasks.ownership.tell(AdoptRequested(decode_map(body.decode())))
+
+
+@pullers.register("configuration")
+def _pull_configuration(context: PullContext, peer: Instance, seen: VersionSeen) -> None:
+    accepted: CatalogAccepted | None = context.catalog.accepted
+    if accepted is not None and accepted.version >= seen.version:
+        return
+    body = _call(context, peer, CONFIGURATION_KIND, b"")
+    if body:
+        offer: OfferConfiguration = decode_offer(body)
+        context.catalog.tell(offer)
+
+
+def _call(context: PullContext, peer: Instance, kind: str, body: bytes) -> bytes:
+    result = context.peers.call(peer.host, peer.peer_port, kind, body, _PULL_TIMEOUT_S)
+    if isinstance(result, Failure):
+        logger.bind(peer=peer.instance_id, kind=kind).debug("not pulled: {}", result.failure())
+        return b""
+    return bytes(result.unwrap())
--- a/packages/damasktide/src/damasktide/discovery/topology.py
+++ b/packages/damasktide/src/damasktide/discovery/topology.py
@@ -9,28 +9,13 @@
 from damasktide.balancing.task import BalancerTask
 from damasktide.discovery.live_list import TargetsListed
 from damasktide.membership.instances import Instance, InstanceState
+from damasktide.membership.messages import MembershipChanged, MembershipView
 from damasktide.ownership.messages import SurroundingsChanged
 from damasktide.ownership.surroundings import Surroundings
 from damasktide.ownership.task import OwnershipTask
 from damasktide.runtime.task import Task, handles
 
 
-@dataclass(frozen=True, slots=True)
-class InstancesSeen:
-    """Instances as membership sees them, this one included.
-
-    Attributes
-    ----------
-    instance_by_id
-        Known instances.
-    state_by_id
-        What is believed of them.
-    """
-
-    instance_by_id: Mapping[str, Instance]
-    state_by_id: Mapping[str, InstanceState]
-
-
 @dataclass(frozen=True, slots=True)
 class OutOfService:
     """Failure domains and instances that operators have taken out.
@@ -61,7 +46,7 @@
         What operators have taken out.
     """
 
-    seen: InstancesSeen
+    seen: MembershipView
     targets: tuple[Target, ...] = ()
     out: OutOfService = field(default_factory=OutOfService)
 
@@ -111,7 +96,7 @@
 
     def __init__(
         self,
-        seen: InstancesSeen,
+        seen: MembershipView,
         ownership_by_service: Mapping[str, OwnershipTask],
         balancer_by_service: Mapping[str, BalancerTask],
         on_change: Callable[[Topology], None],
@@ -127,9 +112,9 @@
         """Publish what is known at the start."""
         self._publish()
 
-    @handles(InstancesSeen)
-    def _see_instances(self, message: InstancesSeen) -> None:
-        self._topology = replace(self._topology, seen=message)
+    @handles(MembershipChanged)
+    def _see_instances(self, message: MembershipChanged) -> None:
+        self._topology = replace(self._topology, seen=message.view)
         self._publish()
 
     @handles(TargetsListed)
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -1,7 +1,7 @@
 """Serves a caller's request: admit, choose the executor, run here or at a peer."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from returns.result import Success
@@ -48,8 +48,6 @@
         What the choice of the executor depends on.
     router, limiter, gatekeeper, peers
         The parts that do the work.
-    on_refused
-        Counts a refusal.
     """
 
     catalog: Published[Catalog | None]
@@ -60,7 +58,6 @@
     limiter: LimiterTask
     gatekeeper: GatekeeperTask
     peers: PeerClient
-    on_refused: Callable[[Refusal], None]
 
 
 class RequestService:
@@ -77,17 +74,6 @@
 
     def handle(self, request: CallerRequest) -> Answer | Refusal:
         """Return the whole response to a caller's request, or a refusal."""
-        result = self._handle(request)
-        if isinstance(result, Refusal):
-            self._parts.on_refused(result)
-        return result
-
-    def handle_forwarded(self, _sender_id: str, body: bytes) -> bytes:
-        """Run a request that another instance admitted."""
-        admitted = codec.decode_request(body)
-        return codec.encode_result(self._run_here(admitted))
-
-    def _handle(self, request: CallerRequest) -> Answer | Refusal:
         catalog = self._parts.catalog.value
         if catalog is None:
             detail = "this instance has no accepted configuration yet"
@@ -102,6 +88,11 @@
             return self._run_here(admitted)
         return self._run_at_peer(admitted, executor_id)
 
+    def handle_forwarded(self, _sender_id: str, body: bytes) -> bytes:
+        """Run a request that another instance admitted."""
+        admitted = codec.decode_request(body)
+        return codec.encode_result(self._run_here(admitted))
+
     def _choose_executor(self, admitted: AdmittedRequest) -> str | Refusal:
         view = self._parts.view.value
         if not admitted.is_keyed:
--- a/packages/damasktide/src/damasktide/frontend/app.py
+++ b/packages/damasktide/src/damasktide/frontend/app.py
@@ -12,22 +12,9 @@
 from damasktide.admission.request import Answer, CallerRequest
 from damasktide.frontend.parsing import METHODS, RequestBounds, parse_request
 from damasktide.frontend.responses import answer_response, refusal_response
-
-
-@dataclass(frozen=True, slots=True)
-class HealthAnswer:
-    """Whether the instance is healthy or ready.
-
-    Attributes
-    ----------
-    is_ok
-        False gives status 503.
-    detail
-        Explanation.
-    """
-
-    is_ok: bool
-    detail: str
+from damasktide.lifecycle.probes import ProbeAnswer, healthz, readyz
+from damasktide.lifecycle.state import LifecycleSnapshot
+from damasktide.runtime.published import Published
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +25,8 @@
     ----------
     handle
         Serves a caller's request.
-    health, readiness
-        Answers for the platform.
+    lifecycle
+        State of the instance, for the platform's probes.
     query_by_name
         Operators' queries; each takes the rest of the path as its arguments.
     on_refused
@@ -47,8 +34,7 @@
     """
 
     handle: Callable[[CallerRequest], Answer | Refusal]
-    health: Callable[[], HealthAnswer]
-    readiness: Callable[[], HealthAnswer]
+    lifecycle: Published[LifecycleSnapshot]
     query_by_name: Mapping[str, Callable[..., Any]]
     on_refused: Callable[[Refusal], None]
 
@@ -65,8 +51,12 @@
             return refusal_response(given_id if given_id.isprintable() else "", parsed)
         result = handlers.handle(parsed)
         if isinstance(result, Refusal):
-            return refusal_response(parsed.request_id, result)
-        return answer_response(parsed.request_id, result)
+            response = refusal_response(parsed.request_id, result)
+        else:
+            response = answer_response(parsed.request_id, result)
+        if handlers.lifecycle.value.closes_connections:
+            response.set_header("Connection", "close")
+        return response
 
     def query(name: str, rest: str = "") -> HTTPResponse:
         handler = handlers.query_by_name.get(name)
@@ -77,16 +67,16 @@
         except (TypeError, KeyError, ValueError) as error:
             return _json({"error": str(error)}, 400)
 
-    app.route("/healthz", "GET", lambda: _health(handlers.health()))
-    app.route("/readyz", "GET", lambda: _health(handlers.readiness()))
+    app.route("/healthz", "GET", lambda: _probe(healthz(handlers.lifecycle.value)))
+    app.route("/readyz", "GET", lambda: _probe(readyz(handlers.lifecycle.value)))
     app.route("/admin/<name>", "GET", query)
     app.route("/admin/<name>/<rest:path>", "GET", query)
     app.route("/<path:path>", sorted(METHODS), serve)
     return app
 
 
-def _health(answer: HealthAnswer) -> HTTPResponse:
-    return _json({"ok": answer.is_ok, "detail": answer.detail}, 200 if answer.is_ok else 503)
+def _probe(answer: ProbeAnswer) -> HTTPResponse:
+    return _json(answer, answer.status)
 
 
 def _json(document: Any, status: int) -> HTTPResponse:
--- a/packages/damasktide/src/damasktide/ownership/task.py
+++ b/packages/damasktide/src/damasktide/ownership/task.py
@@ -55,6 +55,8 @@
         Receives the prepared map after each change.
     on_boot
         Called with server id and boot id after each exchange with a backend server.
+    on_version
+        Called with the map version after each adoption.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         context: ExecutorContext,
         snapshot: Published[OwnerSnapshot],
         on_boot: Callable[[str, str], None] | None = None,
+        on_version: Callable[[int], None] = lambda _version: None,
         **kwargs: Any,
     ) -> None:
         super().__init__(f"ownership/{settings.service}", **kwargs)
@@ -71,6 +74,7 @@
         self._context = context
         self._snapshot = snapshot
         self._on_boot = on_boot
+        self._on_version = on_version
         self._clock: Clock = context.clock
         self._workers = Pool(_MAX_OPEN_EFFECTS)
         self._open_targets: set[tuple[type, str]] = set()
@@ -199,6 +203,7 @@
         shard_map = self._decisions.shard_map
         if shard_map is not None and shard_map is not self._snapshot.value.shard_map:
             self._snapshot.publish(_snapshot_of(shard_map))
+            self._on_version(shard_map.version)
 
 
 def _snapshot_of(shard_map: ShardMap) -> OwnerSnapshot:
