Add the membership protocol

Cause: every instance needs to know which others are live, and to learn of new versions without reading the store. Ruled out: full lists in each datagram (bytes grow with the number of instances); failures accepted by hearsay (both sides of a healed partition would spread them to each other); time limits on the wall of the monotonic clock (a resumed process would blame its peers). Change: a SWIM state machine with probing, suspicion, refutation, piggybacked claims, page-wise lists for joiners, rejoin of lost instances, leaving and departure; datagram codec with computed sizes, HMAC and replay windows; the task with the UDP socket.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/membership/guard.py
@@ -0,0 +1,43 @@
+"""Turns datagrams into authenticated bytes and back."""
+
+from itertools import count
+
+from loguru import logger
+
+from damasktide.membership.authentication import ReplayGuard, seal, unseal
+from damasktide.membership.codec import DatagramError, decode_datagram, encode_datagram
+from damasktide.membership.datagrams import Datagram
+from damasktide.membership.sizing import MAX_DATAGRAM_BYTES
+
+
+class DatagramGuard:
+    """Numbers and signs the datagrams of one sender, and checks those that it receives.
+
+    Parameters
+    ----------
+    key
+        Key that all instances share.
+    """
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._sequences = count()
+        self._replays = ReplayGuard()
+
+    def seal(self, datagram: Datagram) -> bytes:
+        """Return the bytes to send."""
+        return seal(self._key, encode_datagram(datagram, next(self._sequences)))
+
+    def unseal(self, data: bytes) -> Datagram | None:
+        """Return the datagram, or None if it is a stranger's, a replay or not readable."""
+        payload = unseal(self._key, data) if len(data) <= MAX_DATAGRAM_BYTES else None
+        if payload is None:
+            return None
+        try:
+            datagram, sequence = decode_datagram(payload)
+        except DatagramError as error:
+            logger.bind(reason=str(error)).warning("authentic datagram cannot be decoded")
+            return None
+        if not self._replays.accept(datagram.sender.instance_id, sequence):
+            return None
+        return datagram
--- /dev/null
+++ b/packages/damasktide/src/damasktide/membership/swim.py
@@ -0,0 +1,201 @@
+"""The membership protocol as a state machine, after SWIM (Das, Gupta and Motivala, 2002)."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from damasktide.membership.datagrams import (
+    Ack,
+    Datagram,
+    Gossip,
+    Join,
+    Page,
+    Ping,
+    PingRequest,
+    Pull,
+    Welcome,
+)
+from damasktide.membership.detection import FailureDetector
+from damasktide.membership.discovery import Discovery
+from damasktide.membership.exchange import Exchange, News
+from damasktide.membership.instances import Instance
+from damasktide.membership.joining import Address
+from damasktide.membership.messages import (
+    AnnounceVersion,
+    Depart,
+    Leave,
+    MembershipChanged,
+    MembershipView,
+    VersionSeen,
+)
+from damasktide.membership.outbox import SendDatagram, Sizing
+from damasktide.membership.probing import PROBE_TIMEOUT_S
+from damasktide.runtime.registry import Registry
+
+TICK_PERIOD_S = 0.05
+# Time beyond this between two steps was lost to a pause of this process. It does not count,
+# so that no peer is blamed for a pause of its observer.
+MAX_STEP_S = 2 * TICK_PERIOD_S
+# Peers may suspect this instance after a pause that is longer than a probe.
+PAUSE_S = PROBE_TIMEOUT_S + MAX_STEP_S
+DEPART_FANOUT = 4
+HOUSEKEEPING_PERIOD_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Event: time has passed; due every ``TICK_PERIOD_S``."""
+
+
+@dataclass(frozen=True, slots=True)
+class DatagramReceived:
+    """Event: an authentic datagram was received that was not received before."""
+
+    datagram: Datagram
+
+
+Event = Tick | DatagramReceived | AnnounceVersion | Leave | Depart
+Effect = SendDatagram | MembershipChanged | VersionSeen
+
+_EVENTS: Registry[type, Callable[["SwimState", Any], None]] = Registry("membership event")
+_BODIES: Registry[type, Callable[["SwimState", Datagram, Any, News], None]] = Registry("body")
+
+
+class SwimState:
+    """One instance's part in the protocol.
+
+    Parameters
+    ----------
+    own
+        This instance.
+    seeds
+        Addresses at which other instances may be found.
+    sizing
+        Sizes of encoded parts.
+    seed
+        Seed of all random choices.
+    """
+
+    def __init__(self, own: Instance, seeds: Iterable[Address], sizing: Sizing, seed: int) -> None:
+        random = Random(seed)
+        self._exchange = Exchange(own, sizing, random)
+        self._detector = FailureDetector(self._exchange, random)
+        self._discovery = Discovery(own, seeds, self._exchange, random)
+        self._sightings: list[VersionSeen] = []
+        self._now: float | None = None
+        # Time during which this process ran; all time limits refer to it.
+        self._run_time = 0.0
+        self._last_contact = float("-inf")
+        self._housekeeping_at = 0.0
+        self._has_departed = False
+
+    @property
+    def view(self) -> MembershipView:
+        """The current view."""
+        return self._exchange.table.view(self._last_contact)
+
+    @property
+    def last_contact(self) -> float:
+        """Monotonic time of the last datagram from any peer, in seconds."""
+        return self._last_contact
+
+    def step(self, event: Event, now: float) -> tuple[Effect, ...]:
+        """Handle an event and return the effects in order.
+
+        Parameters
+        ----------
+        event
+            What happened.
+        now
+            Monotonic time in seconds.
+        """
+        if self._has_departed:
+            return ()
+        self._advance(now)
+        _EVENTS.get(type(event))(self, event)
+        effects: tuple[Effect, ...] = (*self._exchange.outbox.drain(), *self._sightings)
+        self._sightings.clear()
+        if not self._exchange.table.changed:
+            return effects
+        self._exchange.table.changed = False
+        return (*effects, MembershipChanged(self.view))
+
+    def _advance(self, now: float) -> None:
+        gap = 0.0 if self._now is None else now - self._now
+        self._now = now
+        self._run_time += min(gap, MAX_STEP_S)
+        if gap >= PAUSE_S:
+            self._exchange.table.raise_incarnation()
+            self._exchange.announce()
+            self._exchange.gossip()
+            self._detector.restart(self._run_time)
+
+    @_EVENTS.register(Tick)
+    def _tick(self, _event: Tick) -> None:
+        self._detector.run(self._run_time)
+        self._exchange.gossip()
+        self._discovery.run(self._run_time)
+        if self._run_time >= self._housekeeping_at:
+            self._housekeeping_at = self._run_time + HOUSEKEEPING_PERIOD_S
+            self._exchange.allow_challenges()
+            self._exchange.table.forget_failed(self._run_time)
+
+    @_EVENTS.register(AnnounceVersion)
+    def _announce_version(self, event: AnnounceVersion) -> None:
+        if self._exchange.versions.announce(event.name, event.version):
+            self._exchange.announce()
+
+    @_EVENTS.register(Leave)
+    def _leave(self, _event: Leave) -> None:
+        self._exchange.table.leave()
+        self._exchange.announce()
+
+    @_EVENTS.register(Depart)
+    def _depart(self, _event: Depart) -> None:
+        self._exchange.table.depart()
+        for peer_id in self._exchange.random_peers(DEPART_FANOUT):
+            self._exchange.outbox.send(peer_id, Gossip())
+        self._has_departed = True
+
+    @_EVENTS.register(DatagramReceived)
+    def _receive(self, event: DatagramReceived) -> None:
+        datagram = event.datagram
+        own_id = self._exchange.own_id
+        if datagram.sender.instance_id == own_id:
+            return
+        if isinstance(datagram.body, Join):
+            self._discovery.on_join(datagram.sender.instance)
+        elif datagram.recipient_id == own_id:
+            self._last_contact = self._now or 0.0
+            news = self._exchange.take_in(datagram, self._run_time)
+            self._sightings.extend(news.versions)
+            _BODIES.get(type(datagram.body))(self, datagram, datagram.body, news)
+
+    @_BODIES.register(Ping)
+    def _ping(self, datagram: Datagram, body: Ping, _news: News) -> None:
+        self._detector.on_ping(datagram.sender.instance, body)
+
+    @_BODIES.register(PingRequest)
+    def _ping_request(self, datagram: Datagram, body: PingRequest, _news: News) -> None:
+        self._detector.on_ping_request(datagram.sender.instance, body, self._run_time)
+
+    @_BODIES.register(Ack)
+    def _ack(self, _datagram: Datagram, body: Ack, _news: News) -> None:
+        self._detector.on_ack(body)
+
+    @_BODIES.register(Welcome)
+    def _welcome(self, datagram: Datagram, _body: Welcome, news: News) -> None:
+        self._discovery.on_welcome(datagram.sender.instance, news, self._run_time)
+
+    @_BODIES.register(Pull)
+    def _pull(self, datagram: Datagram, body: Pull, _news: News) -> None:
+        self._discovery.on_pull(datagram.sender.instance, body)
+
+    @_BODIES.register(Page)
+    def _page(self, datagram: Datagram, body: Page, news: News) -> None:
+        self._discovery.on_page(datagram, body, news, self._run_time)
+
+    @_BODIES.register(Gossip)
+    def _gossip(self, _datagram: Datagram, _body: Gossip, _news: News) -> None:
+        """Need nothing beyond what every datagram brings."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/membership/task.py
@@ -0,0 +1,177 @@
+"""The task that runs the membership protocol on a UDP socket."""
+
+import errno
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from damasktide.membership.datagrams import Datagram
+from damasktide.membership.guard import DatagramGuard
+from damasktide.membership.instances import Instance
+from damasktide.membership.joining import Address
+from damasktide.membership.messages import (
+    AnnounceVersion,
+    Depart,
+    GetLastContact,
+    GetView,
+    Leave,
+    MembershipChanged,
+    MembershipView,
+)
+from damasktide.membership.outbox import SendDatagram
+from damasktide.membership.sizing import MAX_DATAGRAM_BYTES, DatagramSizing
+from damasktide.membership.swim import TICK_PERIOD_S, DatagramReceived, Event, SwimState, Tick
+from damasktide.runtime.clock import Clock, MonotonicClock
+from damasktide.runtime.task import Task, TaskFailed, every, handles
+
+# The reader yields after so many datagrams, so that a flood does not starve other greenlets.
+READ_BATCH = 64
+MAX_WAITING_DATAGRAMS = 1024
+
+
+class Subscriber(Protocol):
+    """A task that gets :class:`MembershipChanged` and :class:`VersionSeen` messages."""
+
+    def tell(self, message: object) -> None:
+        """Queue ``message`` and return at once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Adds a subscriber; it gets the current view at once."""
+
+    subscriber: Subscriber
+
+
+@dataclass(frozen=True, slots=True)
+class _SocketLost:
+    """Tells the task that its socket can no longer be read."""
+
+    reason: str
+
+
+class MembershipTask(Task):
+    """Owns the UDP socket and the state of the protocol.
+
+    Parameters
+    ----------
+    own
+        This instance; the socket is bound to its host and gossip port.
+    seeds
+        Addresses at which other instances may be found.
+    key
+        Key that all instances share.
+    seed
+        Seed of all random choices.
+    clock
+        Source of time.
+    on_failure
+        Called if the socket cannot be opened or is lost.
+    """
+
+    def __init__(
+        self,
+        own: Instance,
+        seeds: Iterable[Address],
+        key: bytes,
+        seed: int,
+        clock: Clock | None = None,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("membership", on_failure)
+        self._address = (own.host, own.gossip_port)
+        self._state = SwimState(own, seeds, DatagramSizing(), seed)
+        self._guard = DatagramGuard(key)
+        self._clock = clock or MonotonicClock()
+        self._subscribers: list[Subscriber] = []
+        self._socket: Any = None
+        self._reader: Any = None
+
+    @property
+    def last_contact(self) -> float:
+        """Monotonic time of the last datagram from any peer, in seconds; -inf if none."""
+        return self._state.last_contact
+
+    def on_start(self) -> None:
+        """Open the socket and start reading."""
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(self._address)
+        self._reader = gevent.spawn(self._read)
+
+    def on_stop(self) -> None:
+        """Close the socket."""
+        if self._reader is not None:
+            self._reader.kill(block=False)
+        if self._socket is not None:
+            self._socket.close()
+
+    @every(TICK_PERIOD_S)
+    def _tick(self) -> None:
+        self._apply(Tick())
+
+    @handles(Datagram)
+    def _receive(self, datagram: Datagram) -> None:
+        self._apply(DatagramReceived(datagram))
+
+    @handles(AnnounceVersion)
+    def _announce_version(self, message: AnnounceVersion) -> None:
+        self._apply(message)
+
+    @handles(Leave)
+    def _leave(self, message: Leave) -> None:
+        self._apply(message)
+
+    @handles(Depart)
+    def _depart(self, message: Depart) -> None:
+        self._apply(message)
+
+    @handles(Subscribe)
+    def _subscribe(self, message: Subscribe) -> None:
+        self._subscribers.append(message.subscriber)
+        message.subscriber.tell(MembershipChanged(self._state.view))
+
+    @handles(GetView)
+    def _get_view(self, _message: GetView) -> MembershipView:
+        return self._state.view
+
+    @handles(GetLastContact)
+    def _get_last_contact(self, _message: GetLastContact) -> float:
+        return self._state.last_contact
+
+    @handles(_SocketLost)
+    def _fail(self, message: _SocketLost) -> None:
+        raise OSError(f"the membership socket is lost: {message.reason}")
+
+    def _apply(self, event: Event) -> None:
+        for effect in self._state.step(event, self._clock.now()):
+            if isinstance(effect, SendDatagram):
+                self._send(effect)
+            else:
+                for subscriber in self._subscribers:
+                    subscriber.tell(effect)
+
+    def _send(self, effect: SendDatagram) -> None:
+        try:
+            self._socket.sendto(self._guard.seal(effect.datagram), effect.address)
+        except OSError as error:
+            # An unreachable network looks like a lost datagram; a lost socket ends the reader.
+            logger.bind(errno=errno.errorcode.get(error.errno or 0)).debug("datagram not sent")
+
+    def _read(self) -> None:
+        try:
+            while True:
+                for _ in range(READ_BATCH):
+                    self._read_datagram()
+                gevent.sleep(0)
+        except OSError as error:
+            self.tell(_SocketLost(str(error)))
+
+    def _read_datagram(self) -> None:
+        data, _address = self._socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
+        datagram = self._guard.unseal(data)
+        if datagram is not None and self._inbox.qsize() < MAX_WAITING_DATAGRAMS:
+            self.tell(datagram)
