Run membership in the instance

Cause: instances saw only themselves, so two of a failure domain would have fought over duties. Ruled out: a list of instances in the settings, which goes stale with each replacement. Change: membership feeds topology, shares and the version puller; each subscriber gets only the messages that it handles.

--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -13,7 +13,7 @@
     build_services,
     register_ownership_calls,
 )
-from damasktide.assembly.shares import ShareDistributor
+from damasktide.assembly.shares import PeerContactTask, ShareDistributor
 from damasktide.assembly.version_puller import (
     CONFIGURATION_VERSION,
     PullContext,
@@ -40,7 +40,14 @@
 from damasktide.limits.messages import VolumesChanged
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance, InstanceState
-from damasktide.membership.messages import AnnounceVersion, Depart, Leave, MembershipView
+from damasktide.membership.messages import (
+    AnnounceVersion,
+    Depart,
+    Leave,
+    MembershipChanged,
+    MembershipView,
+    VersionSeen,
+)
 from damasktide.membership.task import MembershipTask, Subscribe
 from damasktide.peering.client import PeerClient
 from damasktide.peering.server import CallHandler, PeerServer
@@ -87,8 +94,8 @@
         for task in self._tasks:
             task.start()
         self._peer_server.start()
-        self._membership.tell(Subscribe(self._topology_task))
-        self._membership.tell(Subscribe(self._version_puller))
+        self._membership.tell(Subscribe(OnlyMessages(self._topology_task, MembershipChanged)))
+        self._membership.tell(Subscribe(OnlyMessages(self._version_puller, VersionSeen)))
         self._server.start()
         gevent.spawn(self._mark_ready)
         logger.bind(instance=self.own.instance_id).info("instance started")
@@ -149,6 +156,7 @@
             self._peers,
             *(task for tasks in self._services.values() for task in tasks.all()),
             self._limiter,
+            PeerContactTask(self._membership, self._limiter, on_failure=fail),
             self._budget,
             self._gatekeeper,
             self._topology_task,
@@ -283,6 +291,27 @@
         self._limiter.tell(VolumesChanged(volumes))
 
 
+class OnlyMessages:
+    """Passes messages of one type on to a task.
+
+    Parameters
+    ----------
+    task
+        Task that gets the messages.
+    message_type
+        Type that it handles.
+    """
+
+    def __init__(self, task: Task, message_type: type) -> None:
+        self._task = task
+        self._message_type = message_type
+
+    def tell(self, message: object) -> None:
+        """Pass ``message`` on if it has the type."""
+        if isinstance(message, self._message_type):
+            self._task.tell(message)
+
+
 def _new_instance(settings: Settings) -> Instance:
     return Instance(
         instance_id=f"{settings.instance}#{secrets.token_hex(4)}",
--- a/packages/damasktide/src/damasktide/assembly/shares.py
+++ b/packages/damasktide/src/damasktide/assembly/shares.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import Any
 
 from damasktide.assembly.services import LINK_BYTES_PER_S, ServiceTasks
 from damasktide.balancing.messages import SharesChanged
@@ -16,7 +17,11 @@
 )
 from damasktide.limits.slot_share import NOTHING
 from damasktide.limits.task import LimiterTask, Shares
+from damasktide.membership.task import MembershipTask
 from damasktide.runtime.published import Published
+from damasktide.runtime.task import Task, every
+
+PEER_CONTACT_PERIOD_S = 0.2
 
 
 class ShareDistributor:
@@ -69,3 +74,28 @@
         }
         assert self.limiter is not None
         self.limiter.tell(CapacityChanged(service, sum(slots_by_server.values()), slots_by_server))
+
+
+class PeerContactTask(Task):
+    """Tells the limiter that peers are heard, which keeps the shares of this instance alive.
+
+    Parameters
+    ----------
+    membership
+        Task that hears from peers.
+    limiter
+        Task that is told.
+    """
+
+    def __init__(self, membership: MembershipTask, limiter: LimiterTask, **kwargs: Any) -> None:
+        super().__init__("peer-contact", **kwargs)
+        self._membership = membership
+        self._limiter = limiter
+        self._last_contact = float("-inf")
+
+    @every(PEER_CONTACT_PERIOD_S)
+    def _check(self) -> None:
+        last_contact = self._membership.last_contact
+        if last_contact > self._last_contact:
+            self._last_contact = last_contact
+            self._limiter.tell(HeardFromPeer())
--- a/packages/damasktide/src/damasktide/ownership/roles.py
+++ b/packages/damasktide/src/damasktide/ownership/roles.py
@@ -51,12 +51,12 @@
     def is_placer(self) -> bool:
         """Return whether this instance plans joins, leaves and balance for the service."""
         ids = [instance.instance_id for instance in self.alive]
-        return rendezvous(f"placer/{self.service}", ids)[0] == self.instance_id
+        return rendezvous(f"placer/{self.service}", ids)[:1] == [self.instance_id]
 
     def is_confirmer_manager(self) -> bool:
         """Return whether this instance proposes the confirmers of its failure domain."""
         ids = self._ids_in(self.domain)
-        return rendezvous(f"confirmers/{self.service}", ids)[0] == self.instance_id
+        return rendezvous(f"confirmers/{self.service}", ids)[:1] == [self.instance_id]
 
     def renewers(self, server: OwnerServer, confirmers: ConfirmerSet) -> list[str]:
         """Return the instances that renew ``server``; the first one controls its moves.
