--- a/packages/damasktide-standins/src/damasktide_standins/platform/app.py
+++ b/packages/damasktide-standins/src/damasktide_standins/platform/app.py
@@ -1,12 +1,12 @@
 """HTTP interface of the stand-in; decisions are in the modules of its parts."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import bottle
 
-from damasktide_standins.platform.faults import FaultControl
+from damasktide_standins.platform.faults import FaultControl, Faults
 from damasktide_standins.platform.live_list import LiveList, parse_entries
 from damasktide_standins.platform.table_service import TableError, TableService
 
@@ -26,6 +26,17 @@
         self.bottle = bottle.Bottle()
         self._add_routes()
 
+    def change_faults(self, changes: Mapping[str, Any]) -> Faults:
+        """Apply a partial change to the faults and return the present ones."""
+        faults = self.faults.change(changes)
+        self.live_list.freeze(faults.live_list_frozen)
+        return faults
+
+    def reset_faults(self) -> Faults:
+        """Switch all faults off."""
+        self.live_list.freeze(False)
+        return self.faults.reset()
+
     def _add_routes(self) -> None:
         route: Callable[..., Any] = self.bottle.route
         route("/", "POST", self._table_call)
@@ -33,7 +44,7 @@
         route("/instances", "PUT", self._put_instances)
         route("/faults", "GET", lambda: self.faults.current.as_json())
         route("/faults", "PUT", self._put_faults)
-        route("/faults", "DELETE", self._reset_faults)
+        route("/faults", "DELETE", lambda: self.reset_faults().as_json())
         route("/<bucket>/<name>", "PUT", self._put_object)
         route("/<bucket>/<name>", "GET", self._get_object)
 
@@ -63,13 +74,7 @@
         return self.live_list.as_json()
 
     def _put_faults(self) -> dict[str, Any]:
-        faults = _checked(self.faults.change, bottle.request.json or {})
-        self.live_list.freeze(faults.live_list_frozen)
-        return faults.as_json()
-
-    def _reset_faults(self) -> dict[str, Any]:
-        self.live_list.freeze(False)
-        return self.faults.reset().as_json()
+        return _checked(self.change_faults, bottle.request.json or {}).as_json()
 
 
 def _checked(parse: Callable[[Any], T], document: Any) -> T:
--- a/packages/damasktide/src/damasktide/catalog/changes.py
+++ b/packages/damasktide/src/damasktide/catalog/changes.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from damasktide.catalog.canonical import decode_catalog
 from damasktide.catalog.configuration import (
     CONFIGURATION_KEY,
     Configuration,
@@ -13,8 +14,9 @@
     encode_configuration,
 )
 from damasktide.catalog.edits import edits
+from damasktide.catalog.lists import Catalog
 from damasktide.store.asking import StoreAsker, ask_store
-from damasktide.store.messages import ReadRow, WriteObject
+from damasktide.store.messages import ReadObject, ReadRow, WriteObject
 from damasktide.store.object_client import object_name
 from damasktide.store.rows import Row, StoreError, StoreErrorKind, WriteRow
 
@@ -113,6 +115,11 @@
         return Failure(ApplyError(ApplyErrorKind.REFUSED, str(error)))
 
 
+def read_catalog(store: StoreAsker) -> Result[tuple[Configuration, Catalog], ApplyError]:
+    """Read the configuration and its lists; both are empty before the first change."""
+    return read_configuration(store).bind(lambda known: _fetch_catalog(store, known[1]))
+
+
 def apply_change(store: StoreAsker, change: Change) -> ApplyResult:
     """Apply a change and return once it is durable.
 
@@ -131,6 +138,20 @@
     return read_configuration(store).bind(lambda known: _write_change(store, change, *known))
 
 
+def _fetch_catalog(
+    store: StoreAsker, configuration: Configuration
+) -> Result[tuple[Configuration, Catalog], ApplyError]:
+    if not configuration.object_name:
+        return Success((configuration, Catalog((), ())))
+    fetched = ask_store(store, ReadObject(configuration.object_name))
+    if not is_successful(fetched):
+        return Failure(_store_failure(fetched.failure(), None))
+    try:
+        return Success((configuration, decode_catalog(fetched.unwrap())))
+    except ValueError as error:
+        return Failure(ApplyError(ApplyErrorKind.REFUSED, str(error)))
+
+
 def _write_change(
     store: StoreAsker, change: Change, row: Row, current: Configuration
 ) -> ApplyResult:
--- a/packages/damasktide/src/damasktide/catalog/tests/test_catalog_task.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_catalog_task.py
@@ -42,7 +42,7 @@
         return status
 
     def set_down(self, down: bool) -> None:
-        self.platform.app.faults.change({"down": down})
+        self.platform.app.change_faults({"down": down})
 
     def test_new_versions_are_published_once_as_snapshots(self) -> None:
         """Guards against a change that is not in force, or is published with each poll."""
@@ -121,7 +121,7 @@
 
     def test_slow_store_does_not_delay_offers_of_peers(self) -> None:
         """Guards against an outage of the store that also blocks the way around it."""
-        self.platform.app.faults.change({"slow_ms": 400})
+        self.platform.app.change_faults({"slow_ms": 400})
         poll = gevent.spawn(self.poller.poll)
         gevent.sleep(0.01)
         verdict = self.catalog.ask(offer(1), timeout_s=0.2)
--- a/packages/damasktide/src/damasktide/catalog/tests/test_changes.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_changes.py
@@ -1,5 +1,7 @@
 import unittest
+from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 import gevent
 
@@ -13,6 +15,7 @@
 )
 from damasktide.catalog.tests.samples import LISTS, OTHER_LISTS
 from damasktide.store.endpoints import StoreEndpoints
+from damasktide.store.messages import ReadRow
 from damasktide.store.object_client import object_name
 from damasktide.store.store_task import StoreTask
 from damasktide_standins.platform.server import PlatformServer
@@ -21,6 +24,20 @@
 BISI = Change("bisi", "change-bisi", "lists", lists=OTHER_LISTS)
 
 
+class InterruptedStore:
+    """Lets another change happen right after the first read."""
+
+    def __init__(self, store: StoreTask, other_change: Callable[[], object]) -> None:
+        self._store = store
+        self._other_changes = [other_change]
+
+    def ask(self, message: object, timeout_s: float) -> Any:
+        result = self._store.ask(message, timeout_s)
+        if isinstance(message, ReadRow) and self._other_changes:
+            self._other_changes.pop()()
+        return result
+
+
 class ApplyChangeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.platform = PlatformServer()
@@ -67,10 +84,19 @@
         self.assertIs(error.kind, ApplyErrorKind.CONFLICT)
         self.assertEqual((error.based_on, self.version()), (0, 1))
 
+    def test_row_that_moves_between_read_and_write_is_a_conflict(self) -> None:
+        """Guards against a body made from an older row under a newer base."""
+        apply_change(self.store, ADA).unwrap()
+        store = InterruptedStore(self.store, lambda: apply_change(self.other_store, BISI))
+        out = Change("chidi", "change-chidi", "domain-out", "ondo-a", based_on=2)
+        self.assertIs(apply_change(store, out).failure().kind, ApplyErrorKind.CONFLICT)
+        _, current = read_configuration(self.store).unwrap()
+        self.assertEqual((current.author, current.domains_out), ("bisi", ()))
+
     def test_lost_response_then_overwritten_by_another_operator(self) -> None:
         """Guards against a false conflict, or a second apply, after a lost response."""
         apply_change(self.store, ADA).unwrap()
-        self.platform.app.faults.change({"drop_answers": 1})
+        self.platform.app.change_faults({"drop_answers": 1})
         job = gevent.spawn(apply_change, self.store, replace(BISI, based_on=1))
         while self.platform.app.faults.current.drop_answers:
             gevent.sleep(0.001)
@@ -100,10 +126,10 @@
         """Guards against an operator who is told 'not applied' although it may be."""
         apply_change(self.store, ADA).unwrap()
         job = gevent.spawn(apply_change, self.store, BISI)
-        self.platform.app.faults.change({"drop_answers": 1})
+        self.platform.app.change_faults({"drop_answers": 1})
         while self.platform.app.faults.current.drop_answers:
             gevent.sleep(0.001)
-        self.platform.app.faults.change({"down": True})
+        self.platform.app.change_faults({"down": True})
         self.assertIs(job.get(timeout=8).failure().kind, ApplyErrorKind.UNRESOLVED)
         error = apply_change(self.store, BISI).failure()
         self.assertIs(error.kind, ApplyErrorKind.UNAVAILABLE)
--- a/packages/damasktide/src/damasktide/store/tests/test_clients.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_clients.py
@@ -23,7 +23,7 @@
         self.other = TableClient(self.endpoints)
 
     def drop_answers(self, count: int) -> None:
-        self.platform.app.faults.change({"drop_answers": count})
+        self.platform.app.change_faults({"drop_answers": count})
 
 
 class TableClientTest(StoreCase):
@@ -38,11 +38,11 @@
         """Guards against a false conflict when another writer follows before the read-back."""
         self.client.write("row", '"start"', 0, "c0").unwrap()
         self.drop_answers(1)
-        self.platform.app.faults.change({"slow_ms": 60})
+        self.platform.app.change_faults({"slow_ms": 60})
         writer = gevent.spawn(self.client.write, "row", '"ours"', 1, "c1")
         while self.platform.app.faults.current.drop_answers:
             gevent.sleep(0.005)
-        self.platform.app.faults.change({"slow_ms": 0})
+        self.platform.app.change_faults({"slow_ms": 0})
         self.other.write("row", '"other"', 2, "c2").unwrap()
         written = writer.get(timeout=5).unwrap()
         self.assertEqual((written.version, written.body), (2, '"ours"'))
@@ -79,7 +79,7 @@
     def test_store_that_is_down_or_gone(self) -> None:
         """Guards against 'unavailable' for a write that may have been received."""
         self.client.write("row", "1", 0, "c1").unwrap()
-        self.platform.app.faults.change({"down": True})
+        self.platform.app.change_faults({"down": True})
         error = self.client.write("row", "2", 1, "c2").failure()
         self.assertIs(error.kind, StoreErrorKind.UNRESOLVED)
         self.platform.stop()
@@ -88,7 +88,7 @@
 
     def test_slow_store_ends_the_call_in_time(self) -> None:
         """Guards against readers that hang on a slow store."""
-        self.platform.app.faults.change({"slow_ms": 2000})
+        self.platform.app.change_faults({"slow_ms": 2000})
         start = time.monotonic()
         error = self.client.read("row").failure()
         self.assertLess(time.monotonic() - start, 1.0)
@@ -116,7 +116,7 @@
 
     def test_read_carries_the_time_at_which_it_was_asked(self) -> None:
         """Guards against rights that count from the response of a slow read."""
-        self.platform.app.faults.change({"slow_ms": 100})
+        self.platform.app.change_faults({"slow_ms": 100})
         before = time.monotonic()
         read = self.task.ask(ReadRow("row")).unwrap()
         self.assertIsInstance(read, RowRead)
--- a/packages/damasktide/src/damasktide/store/tests/test_transport.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_transport.py
@@ -1,5 +1,6 @@
 import time
 import unittest
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -9,17 +10,24 @@
 from damasktide.store.transport import HttpReply, HttpTransport
 
 
+def _receive(connection: Any) -> bytes:
+    with suppress(OSError):
+        return bytes(connection.recv(4096))
+    return b""
+
+
 def respond_slowly_once(connection: Any, _: object) -> None:
     """Send 30 bytes over 3 s to /slow, and a whole response to anything else."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
-    while request := connection.recv(4096):
+    while request := _receive(connection):
         if b"/slow" not in request:
             connection.sendall(head + b"b" * 30)
             continue
         connection.sendall(head)
-        for _ in range(30):
-            gevent.sleep(0.1)
-            connection.sendall(b"a")
+        with suppress(OSError):  # The client hangs up.
+            for _ in range(30):
+                gevent.sleep(0.1)
+                connection.sendall(b"a")
 
 
 class HttpTransportTest(unittest.TestCase):
