Tell repeated changes from first attempts and explore schedules of writes

Cause: a repeat whose earlier attempt was forgotten by the row was reported as a conflict, and one that could not reach the store as certainly not applied; both could be untrue. Ruled out: a longer memory in the row, which only moves the limit. Change: a write says whether an earlier attempt may have taken effect; such a write ends as unresolved, or as forgotten for the operator, unless the row tells. A seeded explorer interleaves writers with late, lost and repeated writes and checks every result against the table.

--- a/packages/damasktide/src/damasktide/catalog/changes.py
+++ b/packages/damasktide/src/damasktide/catalog/changes.py
@@ -40,6 +40,8 @@
         the row remembers only its last changes.
     lists
         Canonical JSON of new lists, or None.
+    repeated
+        Whether an earlier attempt with this id may have taken effect.
     """
 
     author: str
@@ -48,6 +50,7 @@
     argument: str = ""
     based_on: int | None = None
     lists: bytes | None = None
+    repeated: bool = False
 
 
 class ApplyErrorKind(Enum):
@@ -57,6 +60,7 @@
     REFUSED = "refused"
     UNAVAILABLE = "unavailable"
     UNRESOLVED = "unresolved"
+    FORGOTTEN = "forgotten"
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +76,7 @@
     based_on
         Version that the change was based on, if known.
     current
-        The configuration of the other change, for a conflict.
+        The configuration in the store, for a conflict and for a forgotten repeat.
     """
 
     kind: ApplyErrorKind
@@ -128,6 +132,11 @@
     KeyError
         If the registry has no such edit.
     """
+    applied = _apply(store, change)
+    return applied.alt(_in_doubt) if change.repeated else applied
+
+
+def _apply(store: StoreAsker, change: Change) -> ApplyResult:
     if change.lists is not None:
         # A row never names an object that is not yet stored.
         name = object_name(change.lists)
@@ -160,7 +169,8 @@
             return Success(Applied(applied.version, applied.version - 1, changed=True))
     based_on = row.version if change.based_on is None else change.based_on
     if based_on != row.version:
-        return Failure(_conflict(based_on, current))
+        # The body is made from the row as it was read, so it is valid for no other base.
+        return Failure(_lost_race(change, based_on, row, current))
     edited = edits.get(change.edit)(current, change.argument)
     if not edited.object_name:
         detail = "there are no lists yet; apply customers and plans first"
@@ -169,13 +179,34 @@
         return Success(Applied(based_on, based_on, changed=False))
     wanted = replace(edited, author=change.author, change_id=change.change_id, based_on=based_on)
     body = encode_configuration(wanted)
-    message = WriteRow(CONFIGURATION_KEY, body, based_on, change.change_id)
+    message = WriteRow(CONFIGURATION_KEY, body, based_on, change.change_id, change.repeated)
     written = ask_store(store, message)
     if not is_successful(written):
         return Failure(_store_failure(written.failure(), based_on))
     return Success(Applied(written.unwrap().version, based_on, changed=True))
 
 
+def _in_doubt(error: ApplyError) -> ApplyError:
+    """Return the error of a repeat, whose earlier attempt may have taken effect."""
+    if error.kind is ApplyErrorKind.UNAVAILABLE:
+        return replace(error, kind=ApplyErrorKind.UNRESOLVED)
+    return error
+
+
+def _lost_race(change: Change, based_on: int, row: Row, current: Configuration) -> ApplyError:
+    if change.repeated and not row.remembers(based_on + 1):
+        return _forgotten(based_on, current)
+    return _conflict(based_on, current)
+
+
+def _forgotten(based_on: int, current: Configuration) -> ApplyError:
+    detail = (
+        f"version {current.version} is current and no longer tells whether the earlier attempt "
+        f"took effect as version {based_on + 1}"
+    )
+    return ApplyError(ApplyErrorKind.FORGOTTEN, detail, based_on, current)
+
+
 def _conflict(based_on: int, current: Configuration) -> ApplyError:
     detail = (
         f"the change is based on version {based_on}, "
@@ -185,12 +216,13 @@
 
 
 def _store_failure(error: StoreError, based_on: int | None) -> ApplyError:
-    if error.kind is StoreErrorKind.CONFLICT and error.current is not None:
+    if error.current is not None:
         try:
             current = decode_configuration(error.current.version, error.current.body)
         except ValueError as malformed:
             return ApplyError(ApplyErrorKind.REFUSED, str(malformed), based_on)
-        return _conflict(based_on or 0, current)
+        is_conflict = error.kind is StoreErrorKind.CONFLICT
+        return (_conflict if is_conflict else _forgotten)(based_on or 0, current)
     kind = _APPLY_KIND_BY_STORE_KIND.get(error.kind, ApplyErrorKind.REFUSED)
     return ApplyError(kind, error.detail, based_on)
 
--- a/packages/damasktide/src/damasktide/store/readback.py
+++ b/packages/damasktide/src/damasktide/store/readback.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result, Success
 
-from damasktide.store.rows import AppliedChange, Row, StoreError, StoreErrorKind, WriteRow
+from damasktide.store.rows import Row, StoreError, StoreErrorKind, WriteRow
 
 FIRST_DELAY_S = 0.05
 LONGEST_DELAY_S = 0.4
@@ -63,7 +63,7 @@
     deadline
         Monotonic time in seconds after which nothing more is sent.
     in_doubt
-        Whether a write was sent whose response was lost.
+        Whether a write was sent whose response was lost, here or by an earlier attempt.
     failures
         Calls that brought no decision, for the backoff.
     sent_rows
@@ -76,6 +76,11 @@
     failures: int = 0
     sent_rows: tuple[Row, ...] = ()
 
+    @classmethod
+    def begin(cls, writes: tuple[WriteRow, ...], deadline: float) -> "WriteProgress":
+        """Return the state before the first call."""
+        return cls(writes, deadline, in_doubt=any(write.repeated for write in writes))
+
     def on_rows(self, rows: tuple[Row, ...]) -> tuple["WriteProgress", Step]:
         """Judge the rows that were read, in the order of the writes."""
         pairs = tuple(zip(self.writes, rows, strict=True))
@@ -117,7 +122,7 @@
         return StoreError(kind, detail)
 
     def _lost_race(self, write: WriteRow, row: Row) -> StoreError:
-        if self.in_doubt and not _covers(row.changes, write.based_on + 1):
+        if self.in_doubt and not row.remembers(write.based_on + 1):
             detail = f"row {write.key}: too many later changes to tell whether ours took effect"
             return StoreError(StoreErrorKind.UNRESOLVED, detail, row)
         detail = f"row {write.key} is at version {row.version}, not at {write.based_on}"
@@ -133,7 +138,3 @@
     version = _applied_version(write, row) or write.based_on + 1
     changes = tuple(change for change in row.changes if change.version <= version)
     return Row(write.key, version, write.body, write.change_id, changes)
-
-
-def _covers(changes: tuple[AppliedChange, ...], version: int) -> bool:
-    return any(change.version <= version for change in changes)
--- a/packages/damasktide/src/damasktide/store/rows.py
+++ b/packages/damasktide/src/damasktide/store/rows.py
@@ -53,6 +53,10 @@
         """Return the row that stands for an absent one."""
         return cls(key, 0, "", "")
 
+    def remembers(self, version: int) -> bool:
+        """Return whether the changes say which change created ``version``."""
+        return any(change.version <= version for change in self.changes)
+
 
 @dataclass(frozen=True, slots=True)
 class WriteRow:
@@ -69,12 +73,15 @@
     change_id
         Id of the change; a repeat of the same change carries the same id. At most 36
         characters, the limit of the table service for request tokens.
+    repeated
+        Whether an earlier attempt with this id may have taken effect.
     """
 
     key: str
     body: str
     based_on: int
     change_id: str
+    repeated: bool = False
 
     def applied_to(self, before: tuple[AppliedChange, ...]) -> Row:
         """Return the row that this write creates from a row with the changes ``before``."""
@@ -91,7 +98,8 @@
     CONFLICT = "conflict"
     """Another change came first; the error holds the current row."""
     UNRESOLVED = "unresolved"
-    """The response to a write was lost and the row could not be read back in time."""
+    """It is unknown whether a write took effect: its response was lost and the row could not
+    be read back in time, or the row no longer remembers; the error then holds the row."""
     NOT_FOUND = "not_found"
     """The object store has no object of that name."""
     CORRUPT = "corrupt"
--- a/packages/damasktide/src/damasktide/store/store_task.py
+++ b/packages/damasktide/src/damasktide/store/store_task.py
@@ -49,7 +49,7 @@
 
     @handles(WriteRow)
     def _write_row(self, message: WriteRow) -> Result[Row, StoreError]:
-        return self._table.write(message.key, message.body, message.based_on, message.change_id)
+        return self._table.write_rows((message,)).map(lambda rows: rows[0])
 
     @handles(WriteRows)
     def _write_rows(self, message: WriteRows) -> WriteResult:
--- a/packages/damasktide/src/damasktide/store/table_client.py
+++ b/packages/damasktide/src/damasktide/store/table_client.py
@@ -66,12 +66,16 @@
         self._remember(row)
         return Success(RowRead(row, asked_at))
 
-    def write(self, key: str, body: str, based_on: int, change_id: str) -> Result[Row, StoreError]:
+    def write(
+        self, key: str, body: str, based_on: int, change_id: str, repeated: bool = False
+    ) -> Result[Row, StoreError]:
         """Write a row if its version is ``based_on``; return the row that the write created.
 
-        A repeat with the same ``change_id`` never takes effect twice.
+        A repeat with the same ``change_id`` and ``based_on`` never takes effect twice;
+        ``repeated`` says that an earlier attempt may have taken effect.
         """
-        written = self.write_rows((WriteRow(key, body, based_on, change_id),))
+        write = WriteRow(key, body, based_on, change_id, repeated)
+        written = self.write_rows((write,))
         return written.map(lambda rows: rows[0])
 
     def write_rows(self, writes: tuple[WriteRow, ...]) -> WriteResult:
@@ -84,7 +88,7 @@
         """
         if len({write.change_id for write in writes}) != 1:
             raise ValueError("the writes of one call carry one change id")
-        progress = WriteProgress(writes, self._clock.now() + WRITE_BUDGET_S)
+        progress = WriteProgress.begin(writes, self._clock.now() + WRITE_BUDGET_S)
         progress, step = self._first_step(progress)
         while not isinstance(step, Finished):
             progress, step = self._take(progress, step)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/store/tests/test_schedules.py
@@ -0,0 +1,138 @@
+import random
+import unittest
+from dataclasses import dataclass, field
+from unittest import mock
+
+from returns.pipeline import is_successful
+
+from damasktide.store.readback import (
+    Finished,
+    ReadBack,
+    SendWrites,
+    Step,
+    WriteProgress,
+    WriteReply,
+    WriteResult,
+)
+from damasktide.store.rows import Row, StoreError, StoreErrorKind, WriteRow
+
+SEEDS = range(3000)
+DEADLINE = 30.0
+DOWN = StoreError(StoreErrorKind.UNAVAILABLE, "down")
+
+
+@dataclass
+class Table:
+    """One row whose writes arrive late, or never."""
+
+    row: Row = field(default_factory=lambda: Row.absent("row"))
+    in_flight: list[Row] = field(default_factory=list)
+    applied: list[str] = field(default_factory=list)
+
+    def deliver(self, row: Row) -> WriteReply:
+        if row.version != self.row.version + 1:
+            return WriteReply.CONDITION_FAILED
+        self.row = row
+        self.applied.append(row.change_id)
+        return WriteReply.ACCEPTED
+
+
+@dataclass
+class Writer:
+    """Steps one change and repeats it after an unknown outcome or a restart."""
+
+    write: WriteRow
+    step: Step
+    progress: WriteProgress
+    result: WriteResult | None = None
+
+
+def start(change_id: str, based_on: int, repeated: bool = False) -> Writer:
+    write = WriteRow("row", change_id, based_on, change_id, repeated)
+    return Writer(write, ReadBack(0.0), WriteProgress.begin((write,), DEADLINE))
+
+
+def advance(writer: Writer, table: Table, rng: random.Random, now: float) -> None:
+    if isinstance(writer.step, Finished):
+        writer.result = writer.step.result
+        return
+    if isinstance(writer.step, ReadBack):
+        if rng.random() < 0.2:
+            writer.progress, writer.step = writer.progress.on_read_failure(DOWN, now)
+        else:
+            writer.progress, writer.step = writer.progress.on_rows((table.row,))
+        return
+    reply = send(writer.step, table, rng)
+    writer.progress, writer.step = writer.progress.on_reply(reply, "", now)
+
+
+def send(step: SendWrites, table: Table, rng: random.Random) -> WriteReply:
+    row = step.rows[0]
+    fate = rng.choice(("whole", "whole", "refused", "dropped", "late", "response lost"))
+    if fate == "whole":
+        return table.deliver(row)
+    if fate == "refused":
+        return WriteReply.NOT_APPLIED
+    if fate == "late":
+        table.in_flight.append(row)
+    if fate == "response lost":
+        table.deliver(row)
+    return WriteReply.LOST
+
+
+def run_schedule(seed: int) -> tuple[list[Writer], Table]:
+    """Interleave writers, late requests and restarts until all have finished."""
+    rng, table = random.Random(seed), Table()
+    finished: list[Writer] = []
+    running = [start(f"c{i}", rng.randrange(3)) for i in range(3)]
+    now, fresh = 0.0, len(running)
+    while running:
+        now += rng.random()
+        if table.in_flight and rng.random() < 0.3:
+            table.deliver(table.in_flight.pop(rng.randrange(len(table.in_flight))))
+        writer = rng.choice(running)
+        if rng.random() < 0.05:  # The process restarts and repeats its change.
+            running[running.index(writer)] = start(
+                writer.write.change_id, writer.write.based_on, repeated=True
+            )
+            continue
+        advance(writer, table, rng, now)
+        if writer.result is not None:
+            running.remove(writer)
+            finished.append(writer)
+            if fresh < 12:
+                running.append(start(f"c{fresh}", table.row.version - rng.randrange(2)))
+                fresh += 1
+    while table.in_flight:
+        table.deliver(table.in_flight.pop())
+    return finished, table
+
+
+class ScheduleTest(unittest.TestCase):
+    @mock.patch("damasktide.store.rows.REMEMBERED_CHANGES", 2)
+    def test_results_are_true_under_late_lost_and_repeated_writes(self) -> None:
+        """Guards against a change applied twice and against a result that is not true."""
+        seen: set[str] = set()
+        for seed in SEEDS:
+            finished, table = run_schedule(seed)
+            self.assertEqual(len(set(table.applied)), len(table.applied), f"seed {seed}")
+            for writer in finished:
+                seen.add(self.check(writer, table, seed))
+        kinds = {"written", "conflict", "unavailable", "unresolved"}
+        self.assertEqual(seen, kinds, "the schedules do not reach each outcome")
+
+    def check(self, writer: Writer, table: Table, seed: int) -> str:
+        result, change_id = writer.result, writer.write.change_id
+        assert result is not None
+        if is_successful(result):
+            version = result.unwrap()[0].version
+            self.assertEqual(table.applied[version - 1], change_id, f"seed {seed}")
+            return "written"
+        kind = result.failure().kind
+        if kind is not StoreErrorKind.UNRESOLVED:
+            self.assertNotIn(change_id, table.applied, f"seed {seed}: {kind}")
+        return kind.value
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damasktidectl/src/damasktidectl/list_commands.py
+++ b/packages/damasktidectl/src/damasktidectl/list_commands.py
@@ -14,7 +14,14 @@
 from damasktide.catalog.reading import CUSTOMERS_FILE, PLANS_FILE, read_lists
 from damasktide.runtime.findings import Finding, Place
 from damasktide.store.endpoints import StoreEndpoints
-from damasktidectl.options import examples, makes_change, open_store, reports, uses_store
+from damasktidectl.options import (
+    ChangeRequest,
+    examples,
+    makes_change,
+    open_store,
+    reports,
+    uses_store,
+)
 from damasktidectl.reports import Report, report_applied, report_error, report_findings
 
 DIRECTORY = click.Path(exists=True, file_okay=False, path_type=Path)
@@ -76,13 +83,7 @@
 @reports
 @uses_store
 @makes_change
-def apply(
-    directory: Path,
-    endpoints: StoreEndpoints,
-    author: str,
-    based_on: int | None,
-    change_id: str,
-) -> Report:
+def apply(directory: Path, endpoints: StoreEndpoints, request: ChangeRequest) -> Report:
     """Make the lists in DIRECTORY the accepted ones.
 
     The output states the version that the change was based on. If another change came first,
@@ -93,8 +94,7 @@
     if not is_successful(read):
         return report_findings(read.failure())
     lists = encode_catalog(read.unwrap())
-    change = Change(author, change_id, "lists", based_on=based_on, lists=lists)
-    return run_change(endpoints, change)
+    return run_change(endpoints, request.change("lists", lists=lists))
 
 
 def run_change(endpoints: StoreEndpoints, change: Change) -> Report:
--- a/packages/damasktidectl/src/damasktidectl/options.py
+++ b/packages/damasktidectl/src/damasktidectl/options.py
@@ -5,10 +5,12 @@
 import uuid
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import Any
 
 import click
 
+from damasktide.catalog.changes import Change
 from damasktide.store.endpoints import CALL_TIMEOUT_S, StoreEndpoints
 from damasktide.store.store_task import StoreTask
 from damasktidectl.formats import formats
@@ -19,6 +21,34 @@
 Command = Callable[..., Report]
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """What the options of a change say.
+
+    Attributes
+    ----------
+    author
+        Who makes the change.
+    based_on
+        Version that the author saw, or None for the current one.
+    change_id
+        Id of the change, new or that of an earlier attempt.
+    repeated
+        Whether there was an earlier attempt.
+    """
+
+    author: str
+    based_on: int | None
+    change_id: str
+    repeated: bool
+
+    def change(self, edit: str, argument: str = "", lists: bytes | None = None) -> Change:
+        """Return the change that applies an edit."""
+        return Change(
+            self.author, self.change_id, edit, argument, self.based_on, lists, self.repeated
+        )
+
+
 def examples(*lines: str) -> str:
     """Return the end of a help text that shows ``lines`` as they are."""
     # A line with only a backspace tells click to keep the line breaks that follow.
@@ -83,7 +113,7 @@
 
 
 def makes_change(command: Command) -> Command:
-    """Add the options of a change and pass author, change id and base."""
+    """Add the options of a change and pass what they say as ``request``."""
 
     @click.option(
         "--author",
@@ -101,18 +131,24 @@
         "--change-id", help="Id of an earlier attempt that is repeated; needs --based-on."
     )
     @functools.wraps(command)
-    def run(change_id: str | None, based_on: int | None, **options: Any) -> Report:
-        if change_id is not None and based_on is None:
-            # Without the base, an attempt older than the row's memory could apply twice.
-            raise click.UsageError("--change-id needs the --based-on of the first attempt")
-        if change_id is not None and not 1 <= len(change_id) <= LONGEST_CHANGE_ID:
-            raise click.UsageError(f"--change-id has 1 to {LONGEST_CHANGE_ID} characters")
-        change_id = change_id or str(uuid.uuid4())
-        return command(change_id=change_id, based_on=based_on, **options)
+    def run(author: str, based_on: int | None, change_id: str | None, **options: Any) -> Report:
+        request = _check_request(author, based_on, change_id)
+        return command(request=request, **options)
 
     return run
 
 
+def _check_request(author: str, based_on: int | None, change_id: str | None) -> ChangeRequest:
+    if change_id is None:
+        return ChangeRequest(author, based_on, str(uuid.uuid4()), repeated=False)
+    if based_on is None:
+        # Without the base, an attempt older than the row's memory could apply twice.
+        raise click.UsageError("--change-id needs the --based-on of the first attempt")
+    if not 1 <= len(change_id) <= LONGEST_CHANGE_ID:
+        raise click.UsageError(f"--change-id has 1 to {LONGEST_CHANGE_ID} characters")
+    return ChangeRequest(author, based_on, change_id, repeated=True)
+
+
 @contextmanager
 def open_store(endpoints: StoreEndpoints) -> Iterator[StoreTask]:
     """Run a store task for the duration of a command."""
--- a/packages/damasktidectl/src/damasktidectl/reports.py
+++ b/packages/damasktidectl/src/damasktidectl/reports.py
@@ -37,6 +37,7 @@
 _EXIT_CODE_BY_KIND = {
     ApplyErrorKind.CONFLICT: ExitCode.REFUSED,
     ApplyErrorKind.REFUSED: ExitCode.REFUSED,
+    ApplyErrorKind.FORGOTTEN: ExitCode.REFUSED,
     ApplyErrorKind.UNAVAILABLE: ExitCode.STORE_NOT_REACHABLE,
     ApplyErrorKind.UNRESOLVED: ExitCode.STORE_NOT_REACHABLE,
 }
@@ -77,6 +78,7 @@
         document["other_author"] = error.current.author
         document["other_version"] = error.current.version
     if error.kind is ApplyErrorKind.UNRESOLVED and change is not None:
-        options = f"--based-on {error.based_on} --change-id {change.change_id}"
+        based_on = change.based_on if error.based_on is None else error.based_on
+        options = f"--based-on {based_on} --change-id {change.change_id}"
         document["repeat"] = f"repeat the command with {options}; it never applies twice"
     return Report(document, _EXIT_CODE_BY_KIND[error.kind])
--- a/packages/damasktidectl/src/damasktidectl/service_commands.py
+++ b/packages/damasktidectl/src/damasktidectl/service_commands.py
@@ -7,7 +7,7 @@
 from damasktide.catalog.changes import Change
 from damasktide.store.endpoints import StoreEndpoints
 from damasktidectl.list_commands import run_change
-from damasktidectl.options import examples, makes_change, reports, uses_store
+from damasktidectl.options import ChangeRequest, examples, makes_change, reports, uses_store
 from damasktidectl.reports import Report
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._#-]{0,99}")
@@ -30,15 +30,13 @@
 @reports
 @uses_store
 @makes_change
-def domain_out(
-    name: str, endpoints: StoreEndpoints, author: str, based_on: int | None, change_id: str
-) -> Report:
+def domain_out(name: str, endpoints: StoreEndpoints, request: ChangeRequest) -> Report:
     """Take the failure domain NAME out of service.
 
     It receives no new work after a few seconds. Exit codes: 0 accepted, or already out,
     1 refused or conflict, 3 store not reachable.
     """
-    return _edit(endpoints, Change(author, change_id, "domain-out", name, based_on))
+    return _edit(endpoints, request.change("domain-out", name))
 
 
 @domain.command(
@@ -48,15 +46,13 @@
 @reports
 @uses_store
 @makes_change
-def domain_in(
-    name: str, endpoints: StoreEndpoints, author: str, based_on: int | None, change_id: str
-) -> Report:
+def domain_in(name: str, endpoints: StoreEndpoints, request: ChangeRequest) -> Report:
     """Bring the failure domain NAME back.
 
     It takes up its share in steps. Exit codes: 0 accepted, or not out, 1 refused or conflict,
     3 store not reachable.
     """
-    return _edit(endpoints, Change(author, change_id, "domain-in", name, based_on))
+    return _edit(endpoints, request.change("domain-in", name))
 
 
 @instance.command(
@@ -66,18 +62,12 @@
 @reports
 @uses_store
 @makes_change
-def instance_out(
-    instance_id: str,
-    endpoints: StoreEndpoints,
-    author: str,
-    based_on: int | None,
-    change_id: str,
-) -> Report:
+def instance_out(instance_id: str, endpoints: StoreEndpoints, request: ChangeRequest) -> Report:
     """Take the instance ID out of service.
 
     Exit codes: 0 accepted, or already out, 1 refused or conflict, 3 store not reachable.
     """
-    return _edit(endpoints, Change(author, change_id, "instance-out", instance_id, based_on))
+    return _edit(endpoints, request.change("instance-out", instance_id))
 
 
 @instance.command(
@@ -87,18 +77,12 @@
 @reports
 @uses_store
 @makes_change
-def instance_in(
-    instance_id: str,
-    endpoints: StoreEndpoints,
-    author: str,
-    based_on: int | None,
-    change_id: str,
-) -> Report:
+def instance_in(instance_id: str, endpoints: StoreEndpoints, request: ChangeRequest) -> Report:
     """Bring the instance ID back.
 
     Exit codes: 0 accepted, or not out, 1 refused or conflict, 3 store not reachable.
     """
-    return _edit(endpoints, Change(author, change_id, "instance-in", instance_id, based_on))
+    return _edit(endpoints, request.change("instance-in", instance_id))
 
 
 def _edit(endpoints: StoreEndpoints, change: Change) -> Report:
--- a/packages/damasktidectl/src/damasktidectl/tests/test_commands.py
+++ b/packages/damasktidectl/src/damasktidectl/tests/test_commands.py
@@ -96,6 +96,15 @@
             code, document = self.run_json(*arguments)
             self.assertEqual((code, document["result"]), (3, "unavailable"))
 
+    def test_unknown_outcome_says_how_to_repeat_safely(self) -> None:
+        """Guards against a repeat under a new id, which may apply the change twice."""
+        self.run_json("apply", COCOA)
+        self.set_faults(down=True)
+        arguments = ("apply", NILE, "--based-on", "1", "--change-id", "first")
+        code, document = self.run_json(*arguments)
+        self.assertEqual((code, document["result"]), (3, "unresolved"))
+        self.assertIn("--based-on 1 --change-id first", document["repeat"])
+
     def test_missing_object_is_no_outage(self) -> None:
         """Guards against advice to wait for a store that will not help."""
         self.run_json("apply", COCOA)
