Decode lists faster and use plain terms in the store and catalog slices

Cause: decoding 10,000 customers held up all greenlets of a process for 52 ms; some names and comments were figurative. Ruled out: decoding in a thread, which competes for the interpreter lock just the same. Change: entries are built without copies and sorted by name only; names and comments reworded without a change of behaviour, and the constant and kind for the row's history renamed.

--- a/packages/damasktide-standins/src/damasktide_standins/platform/server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/platform/server.py
@@ -43,11 +43,11 @@
         faults = self._app.faults.current
         gevent.sleep(faults.slow_ms / 1000)
         if faults.down:
-            return _hang_up(environ, start_response)
+            return _close_connection(environ, start_response)
         started: list[tuple[Any, ...]] = []
         body = list(self._respond(environ, lambda *args: started.append(args)))
         if _is_applied_write(environ, started) and self._app.faults.take_dropped_answer():
-            return _hang_up(environ, start_response)
+            return _close_connection(environ, start_response)
         start_response(*started[-1])
         return body
 
@@ -96,7 +96,7 @@
     return operation in WRITE_OPERATIONS and started[-1][0].startswith("200")
 
 
-def _hang_up(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+def _close_connection(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
     environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
     start_response("503 Service Unavailable", [("Connection", "close")])
     return []
--- a/packages/damasktide-standins/src/damasktide_standins/platform/tests/test_platform.py
+++ b/packages/damasktide-standins/src/damasktide_standins/platform/tests/test_platform.py
@@ -65,8 +65,8 @@
         reply = self.http.request(method, self.platform.url + path, body=body, headers=headers)
         return reply.status, reply.data
 
-    def test_frozen_live_list_hides_changes_until_it_thaws(self) -> None:
-        """Guards against tests of a lagging live list that see the truth."""
+    def test_frozen_live_list_hides_changes_until_it_is_unfrozen(self) -> None:
+        """Guards against tests of a lagging live list that see its real state."""
         self.call("PUT", "/instances", {"instances": [ENTRY]})
         self.call("PUT", "/faults", {"live_list_frozen": True})
         self.call("PUT", "/instances", {"instances": []})
--- a/packages/damasktide/src/damasktide/catalog/canonical.py
+++ b/packages/damasktide/src/damasktide/catalog/canonical.py
@@ -44,9 +44,11 @@
 
 
 def _customer(item: dict[str, Any]) -> Customer:
-    return Customer(**{**item, "home_regions": tuple(item["home_regions"])})
+    item["home_regions"] = tuple(item["home_regions"])
+    return Customer(**item)
 
 
 def _plan(item: dict[str, Any]) -> Plan:
-    lists = {"regions": tuple(item["regions"]), "services": tuple(item["services"])}
-    return Plan(**{**item, **lists})
+    item["regions"] = tuple(item["regions"])
+    item["services"] = tuple(item["services"])
+    return Plan(**item)
--- a/packages/damasktide/src/damasktide/catalog/changes.py
+++ b/packages/damasktide/src/damasktide/catalog/changes.py
@@ -37,7 +37,7 @@
         Argument of the edit; unused for new lists.
     based_on
         Version that the author saw, or None for the current one. A repeat names it, because
-        the row remembers only its last changes.
+        the row keeps only its last changes.
     lists
         Canonical JSON of new lists, or None.
     repeated
@@ -60,12 +60,12 @@
     REFUSED = "refused"
     UNAVAILABLE = "unavailable"
     UNRESOLVED = "unresolved"
-    FORGOTTEN = "forgotten"
+    HISTORY_EXCEEDED = "history_exceeded"
 
 
 @dataclass(frozen=True, slots=True)
 class ApplyError:
-    """A change that did not take effect, or whose fate is unknown.
+    """A change that did not take effect, or whose outcome is unknown.
 
     Attributes
     ----------
@@ -76,7 +76,7 @@
     based_on
         Version that the change was based on, if known.
     current
-        The configuration in the store, for a conflict and for a forgotten repeat.
+        The configuration in the store, for a conflict and for a repeat beyond the history.
     """
 
     kind: ApplyErrorKind
@@ -194,17 +194,17 @@
 
 
 def _lost_race(change: Change, based_on: int, row: Row, current: Configuration) -> ApplyError:
-    if change.repeated and not row.remembers(based_on + 1):
-        return _forgotten(based_on, current)
+    if change.repeated and not row.covers(based_on + 1):
+        return _history_exceeded(based_on, current)
     return _conflict(based_on, current)
 
 
-def _forgotten(based_on: int, current: Configuration) -> ApplyError:
+def _history_exceeded(based_on: int, current: Configuration) -> ApplyError:
     detail = (
         f"version {current.version} is current and no longer tells whether the earlier attempt "
         f"took effect as version {based_on + 1}"
     )
-    return ApplyError(ApplyErrorKind.FORGOTTEN, detail, based_on, current)
+    return ApplyError(ApplyErrorKind.HISTORY_EXCEEDED, detail, based_on, current)
 
 
 def _conflict(based_on: int, current: Configuration) -> ApplyError:
@@ -222,7 +222,7 @@
         except ValueError as malformed:
             return ApplyError(ApplyErrorKind.REFUSED, str(malformed), based_on)
         is_conflict = error.kind is StoreErrorKind.CONFLICT
-        return (_conflict if is_conflict else _forgotten)(based_on or 0, current)
+        return (_conflict if is_conflict else _history_exceeded)(based_on or 0, current)
     kind = _APPLY_KIND_BY_STORE_KIND.get(error.kind, ApplyErrorKind.REFUSED)
     return ApplyError(kind, error.detail, based_on)
 
--- a/packages/damasktide/src/damasktide/catalog/configuration.py
+++ b/packages/damasktide/src/damasktide/catalog/configuration.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted change, with the whole state after it.
+    """One accepted change, with the complete state after it.
 
     Attributes
     ----------
--- a/packages/damasktide/src/damasktide/catalog/lists.py
+++ b/packages/damasktide/src/damasktide/catalog/lists.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from operator import attrgetter
 from types import MappingProxyType
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Plan:
     """What the customers of a plan may use.
 
@@ -28,7 +29,7 @@
     max_body_bytes: int
 
 
-@dataclass(frozen=True, slots=True, order=True)
+@dataclass(frozen=True, slots=True)
 class Customer:
     """A customer with its credentials and plan.
 
@@ -71,8 +72,8 @@
     plan_by_name: Mapping[str, Plan] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
-        customers = tuple(sorted(self.customers))
-        plans = tuple(sorted(self.plans))
+        customers = tuple(sorted(self.customers, key=attrgetter("name")))
+        plans = tuple(sorted(self.plans, key=attrgetter("name")))
         derived = {
             "customers": customers,
             "plans": plans,
--- a/packages/damasktide/src/damasktide/catalog/tests/test_adoption.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_adoption.py
@@ -43,17 +43,17 @@
         judgement = judge_offer(adopt(offer(5)), offer(5, OTHER_LISTS), True)
         self.assertIs(judgement.verdict, Verdict.DIFFERENT_CONTENT)
 
-    def test_damaged_offers_change_nothing(self) -> None:
+    def test_malformed_offers_change_nothing(self) -> None:
         """Guards against bytes that are not the object that the row names."""
         good = offer(5)
-        damaged = (
+        malformed = (
             replace(good, object_bytes=OTHER_LISTS),
             replace(good, object_bytes=b""),
             replace(good, row_body="{"),
             replace(good, row_body="[]"),
             replace(good, version=6),
         )
-        for bad in damaged:
+        for bad in malformed:
             judgement = judge_offer(None, bad, True)
             self.assertEqual((judgement.verdict, judgement.accepted), (Verdict.MALFORMED, None))
 
--- a/packages/damasktide/src/damasktide/catalog/tests/test_catalog_task.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_catalog_task.py
@@ -93,7 +93,7 @@
         self.assertEqual([accepted.version for accepted in self.published], [2])
 
     def test_peers_help_while_the_store_is_down_and_the_store_confirms(self) -> None:
-        """Guards against instances that stay behind, or trust peers over the store."""
+        """Guards against instances that keep an old version, or prefer peers to the store."""
         apply_change(self.store, ADA).unwrap()
         self.poll()
         ahead = offer(2, OTHER_LISTS)
--- a/packages/damasktide/src/damasktide/catalog/tests/test_changes.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_changes.py
@@ -120,7 +120,7 @@
         before = self.version()
         self.assertGreater(before, 17)
         error = apply_change(self.other_store, replace(change, repeated=True)).failure()
-        self.assertEqual((error.kind, self.version()), (ApplyErrorKind.FORGOTTEN, before))
+        self.assertEqual((error.kind, self.version()), (ApplyErrorKind.HISTORY_EXCEEDED, before))
 
     def test_outage_says_whether_the_change_may_have_taken_effect(self) -> None:
         """Guards against an operator who is told 'not applied' although it may be."""
--- a/packages/damasktide/src/damasktide/catalog/tests/test_lists.py
+++ b/packages/damasktide/src/damasktide/catalog/tests/test_lists.py
@@ -92,8 +92,14 @@
 
     def test_malformed_objects_are_refused(self) -> None:
         """Guards against lists that fail on a request instead of on arrival."""
-        orphan = encode_catalog(Catalog((ROAMING,), ()))
-        for data in (orphan, b"{}", b"[]", b"\xff", LISTS.replace(b'"format":1', b'"format":2')):
+        unknown_plan = encode_catalog(Catalog((ROAMING,), ()))
+        for data in (
+            unknown_plan,
+            b"{}",
+            b"[]",
+            b"\xff",
+            LISTS.replace(b'"format":1', b'"format":2'),
+        ):
             with self.assertRaises(ValueError):
                 decode_catalog(data)
 
--- a/packages/damasktide/src/damasktide/store/readback.py
+++ b/packages/damasktide/src/damasktide/store/readback.py
@@ -84,7 +84,7 @@
     def on_rows(self, rows: tuple[Row, ...]) -> tuple["WriteProgress", Step]:
         """Judge the rows that were read, in the order of the writes."""
         pairs = tuple(zip(self.writes, rows, strict=True))
-        # The writes are atomic, so one row that names the change speaks for all of them.
+        # The writes are atomic, so one row that names the change shows that all took effect.
         if any(_applied_version(write, row) is not None for write, row in pairs):
             return self, Finished(Success(tuple(_applied_row(*pair) for pair in pairs)))
         for write, row in pairs:
@@ -122,7 +122,7 @@
         return StoreError(kind, detail)
 
     def _lost_race(self, write: WriteRow, row: Row) -> StoreError:
-        if self.in_doubt and not row.remembers(write.based_on + 1):
+        if self.in_doubt and not row.covers(write.based_on + 1):
             detail = f"row {write.key}: too many later changes to tell whether ours took effect"
             return StoreError(StoreErrorKind.UNRESOLVED, detail, row)
         detail = f"row {write.key} is at version {row.version}, not at {write.based_on}"
--- a/packages/damasktide/src/damasktide/store/rows.py
+++ b/packages/damasktide/src/damasktide/store/rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-REMEMBERED_CHANGES = 16
+KEPT_CHANGES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +53,7 @@
         """Return the row that stands for an absent one."""
         return cls(key, 0, "", "")
 
-    def remembers(self, version: int) -> bool:
+    def covers(self, version: int) -> bool:
         """Return whether the changes say which change created ``version``."""
         return any(change.version <= version for change in self.changes)
 
@@ -86,7 +86,7 @@
     def applied_to(self, before: tuple[AppliedChange, ...]) -> Row:
         """Return the row that this write creates from a row with the changes ``before``."""
         version = self.based_on + 1
-        changes = (*before, AppliedChange(self.change_id, version))[-REMEMBERED_CHANGES:]
+        changes = (*before, AppliedChange(self.change_id, version))[-KEPT_CHANGES:]
         return Row(self.key, version, self.body, self.change_id, changes)
 
 
@@ -99,7 +99,8 @@
     """Another change came first; the error holds the current row."""
     UNRESOLVED = "unresolved"
     """It is unknown whether a write took effect: its response was lost and the row could not
-    be read back in time, or the row no longer remembers; the error then holds the row."""
+    be read back in time, or the row's history no longer reaches back to it. In the second case
+    the error holds the row."""
     NOT_FOUND = "not_found"
     """The object store has no object of that name."""
     CORRUPT = "corrupt"
--- a/packages/damasktide/src/damasktide/store/table_client.py
+++ b/packages/damasktide/src/damasktide/store/table_client.py
@@ -46,7 +46,7 @@
         self._table = endpoints.table
         self._transport = HttpTransport(endpoints.table_url, endpoints.timeout_s)
         self._clock = clock or MonotonicClock()
-        self._known_by_key: dict[str, tuple[int, tuple[AppliedChange, ...]]] = {}
+        self._history_by_key: dict[str, tuple[int, tuple[AppliedChange, ...]]] = {}
 
     def read(self, key: str) -> Result[RowRead, StoreError]:
         """Read a row; an absent one has version 0."""
@@ -63,7 +63,7 @@
             row = table_codec.decode_row(key, reply.body)
         except ValueError as error:
             return Failure(StoreError(StoreErrorKind.CORRUPT, str(error)))
-        self._remember(row)
+        self._keep_history(row)
         return Success(RowRead(row, asked_at))
 
     def write(
@@ -93,7 +93,7 @@
         while not isinstance(step, Finished):
             progress, step = self._take(progress, step)
         for row in step.result.value_or(()):
-            self._remember(row)
+            self._keep_history(row)
         return step.result
 
     def close(self) -> None:
@@ -104,7 +104,7 @@
         """Skip the first read if the changes of each row at its version are known."""
         rows = []
         for write in progress.writes:
-            version, changes = self._known_by_key.get(write.key, (-1, ()))
+            version, changes = self._history_by_key.get(write.key, (-1, ()))
             if version != write.based_on:
                 return progress, ReadBack(0.0)
             rows.append(Row(write.key, version, "", "", changes))
@@ -138,5 +138,5 @@
         error = called.failure()
         return (WriteReply.LOST if error.sent else WriteReply.NOT_APPLIED), error.detail
 
-    def _remember(self, row: Row) -> None:
-        self._known_by_key[row.key] = (row.version, row.changes)
+    def _keep_history(self, row: Row) -> None:
+        self._history_by_key[row.key] = (row.version, row.changes)
--- a/packages/damasktide/src/damasktide/store/table_codec.py
+++ b/packages/damasktide/src/damasktide/store/table_codec.py
@@ -1,4 +1,4 @@
-"""DynamoDB's JSON protocol: requests as bytes, responses as rows or as the fate of a write."""
+"""DynamoDB's JSON protocol: requests as bytes, responses as rows or outcomes of writes."""
 
 import json
 from collections.abc import Mapping
@@ -11,8 +11,8 @@
 TARGET_PREFIX = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
 
-# These errors say that nothing was written because of other requests, so reading again shows
-# whether the write still has a chance.
+# These errors say that nothing was written because of other requests. Reading the row shows
+# whether the write can still take effect.
 _CONTENTION = {
     "ConditionalCheckFailedException",
     "TransactionCanceledException",
--- a/packages/damasktide/src/damasktide/store/tests/test_clients.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_clients.py
@@ -7,7 +7,7 @@
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.messages import ReadObject, ReadRow, WriteObject, WriteRows
 from damasktide.store.object_client import object_name
-from damasktide.store.rows import REMEMBERED_CHANGES, RowRead, StoreErrorKind, WriteRow
+from damasktide.store.rows import KEPT_CHANGES, RowRead, StoreErrorKind, WriteRow
 from damasktide.store.store_task import StoreTask
 from damasktide.store.table_client import TableClient
 from damasktide_standins.platform.server import PlatformServer
@@ -49,7 +49,7 @@
         self.assertEqual(self.client.read("row").unwrap().row.body, '"other"')
 
     def test_racing_writers_get_one_winner_and_the_row_of_the_other(self) -> None:
-        """Guards against both writers of one version believing that they won."""
+        """Guards against both writers of one version reporting success."""
         results = [
             job.get(timeout=5)
             for job in [
@@ -69,14 +69,14 @@
             self.assertEqual(client.write("row", "1", based_on, "c1").unwrap().version, 1)
         self.assertEqual(self.other.read("row").unwrap().row.version, 1)
 
-    def test_row_remembers_a_bounded_number_of_changes(self) -> None:
+    def test_history_of_a_row_is_bounded(self) -> None:
         """Guards against rows that grow with each write."""
-        for version in range(REMEMBERED_CHANGES + 4):
+        for version in range(KEPT_CHANGES + 4):
             self.client.write("row", "{}", version, f"c{version}").unwrap()
         changes = self.other.read("row").unwrap().row.changes
         self.assertEqual([changes[0].version, changes[-1].version], [5, 20])
 
-    def test_store_that_is_down_or_gone(self) -> None:
+    def test_store_that_is_down_or_refuses_connections(self) -> None:
         """Guards against 'unavailable' for a write that may have been received."""
         self.client.write("row", "1", 0, "c1").unwrap()
         self.platform.app.change_faults({"down": True})
--- a/packages/damasktide/src/damasktide/store/tests/test_readback.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_readback.py
@@ -44,8 +44,8 @@
         error = step.result.failure()
         self.assertEqual((error.kind, error.current), (StoreErrorKind.CONFLICT, current))
 
-    def test_forgotten_history_is_unresolved(self) -> None:
-        """Guards against a false conflict when the row no longer remembers our version."""
+    def test_version_older_than_the_history_is_unresolved(self) -> None:
+        """Guards against a false conflict after more changes than the history holds."""
         later = row_after(*(f"x{i}" for i in range(30)))
         _, step = lost_write().on_rows((later,))
         assert isinstance(step, Finished)
@@ -67,7 +67,7 @@
         assert isinstance(step, Finished)
         self.assertIs(step.result.failure().kind, StoreErrorKind.UNAVAILABLE)
 
-    def test_delays_grow_so_that_an_outage_is_not_hammered(self) -> None:
+    def test_delays_grow_during_an_outage(self) -> None:
         """Guards against a tight loop of reads while the store is down."""
         progress, delays = lost_write(), []
         for _ in range(6):
--- a/packages/damasktide/src/damasktide/store/tests/test_schedules.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_schedules.py
@@ -68,14 +68,14 @@
 
 def send(step: SendWrites, table: Table, rng: random.Random) -> WriteReply:
     row = step.rows[0]
-    fate = rng.choice(("whole", "whole", "refused", "dropped", "late", "response lost"))
-    if fate == "whole":
+    outcome = rng.choice(("complete", "complete", "refused", "dropped", "late", "response lost"))
+    if outcome == "complete":
         return table.deliver(row)
-    if fate == "refused":
+    if outcome == "refused":
         return WriteReply.NOT_APPLIED
-    if fate == "late":
+    if outcome == "late":
         table.in_flight.append(row)
-    if fate == "response lost":
+    if outcome == "response lost":
         table.deliver(row)
     return WriteReply.LOST
 
@@ -109,7 +109,7 @@
 
 
 class ScheduleTest(unittest.TestCase):
-    @mock.patch("damasktide.store.rows.REMEMBERED_CHANGES", 2)
+    @mock.patch("damasktide.store.rows.KEPT_CHANGES", 2)
     def test_results_are_true_under_late_lost_and_repeated_writes(self) -> None:
         """Guards against a change applied twice and against a result that is not true."""
         seen: set[str] = set()
--- a/packages/damasktide/src/damasktide/store/tests/test_transport.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_transport.py
@@ -17,7 +17,7 @@
 
 
 def respond_slowly_once(connection: Any, _: object) -> None:
-    """Send 30 bytes over 3 s to /slow, and a whole response to anything else."""
+    """Send 30 bytes over 3 s to /slow, and a complete response to anything else."""
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
     while request := _receive(connection):
         if b"/slow" not in request:
@@ -31,7 +31,7 @@
 
 
 class HttpTransportTest(unittest.TestCase):
-    def test_trickling_response_ends_in_time_and_leaves_no_rest_behind(self) -> None:
+    def test_slow_response_is_cut_off_and_its_connection_is_not_reused(self) -> None:
         """Guards against a call that outlasts its timeout, and against crossed responses."""
         server = StreamServer(("127.0.0.1", 0), respond_slowly_once)
         server.start()
@@ -41,8 +41,8 @@
         error = transport.call("GET", "/slow", None, {}).failure()
         self.assertLess(time.monotonic() - start, 1.0)
         self.assertTrue(error.sent)
-        whole = transport.call("GET", "/fast", None, {})
-        self.assertEqual(whole, Success(HttpReply(200, b"b" * 30)))
+        complete = transport.call("GET", "/fast", None, {})
+        self.assertEqual(complete, Success(HttpReply(200, b"b" * 30)))
 
 
 if __name__ == "__main__":
--- a/packages/damasktide/src/damasktide/store/transport.py
+++ b/packages/damasktide/src/damasktide/store/transport.py
@@ -55,7 +55,7 @@
     def call(
         self, method: str, path: str, body: bytes | None, headers: Mapping[str, str]
     ) -> Result[HttpReply, TransportError]:
-        """Send one request and wait for the whole response."""
+        """Send one request and wait for the complete response."""
         # The read timeout of urllib3 starts again with each packet; this one covers the call.
         timeout = gevent.Timeout(self._timeout_s)
         try:
--- a/packages/damasktidectl/src/damasktidectl/options.py
+++ b/packages/damasktidectl/src/damasktidectl/options.py
@@ -142,7 +142,7 @@
     if change_id is None:
         return ChangeRequest(author, based_on, str(uuid.uuid4()), repeated=False)
     if based_on is None:
-        # Without the base, an attempt older than the row's memory could apply twice.
+        # Without the base, an attempt older than the row's history could apply twice.
         raise click.UsageError("--change-id needs the --based-on of the first attempt")
     if not 1 <= len(change_id) <= LONGEST_CHANGE_ID:
         raise click.UsageError(f"--change-id has 1 to {LONGEST_CHANGE_ID} characters")
--- a/packages/damasktidectl/src/damasktidectl/reports.py
+++ b/packages/damasktidectl/src/damasktidectl/reports.py
@@ -37,7 +37,7 @@
 _EXIT_CODE_BY_KIND = {
     ApplyErrorKind.CONFLICT: ExitCode.REFUSED,
     ApplyErrorKind.REFUSED: ExitCode.REFUSED,
-    ApplyErrorKind.FORGOTTEN: ExitCode.REFUSED,
+    ApplyErrorKind.HISTORY_EXCEEDED: ExitCode.REFUSED,
     ApplyErrorKind.UNAVAILABLE: ExitCode.STORE_NOT_REACHABLE,
     ApplyErrorKind.UNRESOLVED: ExitCode.STORE_NOT_REACHABLE,
 }
--- a/packages/damasktidectl/src/damasktidectl/tests/test_commands.py
+++ b/packages/damasktidectl/src/damasktidectl/tests/test_commands.py
@@ -56,7 +56,7 @@
             self.assertEqual((code, len(document["findings"])), (2, 2))
 
     def test_apply_states_its_base_and_names_the_winner_of_a_race(self) -> None:
-        """Guards against a conflict that leaves the operator guessing whose change came first."""
+        """Guards against a conflict that does not say whose change came first."""
         code, document = self.run_json("apply", COCOA)
         self.assertEqual((code, document["version"], document["based_on"]), (0, 1, 0))
         self.run_json("domain", "out", "ondo-a", "--author", "bisi")
