--- a/packages/damasktide/src/damasktide/catalog/changes.py
+++ b/packages/damasktide/src/damasktide/catalog/changes.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from damasktide.catalog.canonical import decode_catalog
 from damasktide.catalog.configuration import (
     CONFIGURATION_KEY,
     Configuration,
@@ -13,8 +14,9 @@
     encode_configuration,
 )
 from damasktide.catalog.edits import edits
+from damasktide.catalog.lists import Catalog
 from damasktide.store.asking import StoreAsker, ask_store
-from damasktide.store.messages import ReadRow, WriteObject
+from damasktide.store.messages import ReadObject, ReadRow, WriteObject
 from damasktide.store.object_client import object_name
 from damasktide.store.rows import Row, StoreError, StoreErrorKind, WriteRow
 
@@ -35,9 +37,11 @@
         Argument of the edit; unused for new lists.
     based_on
         Version that the author saw, or None for the current one. A repeat names it, because
-        the row remembers only its last changes.
+        the row keeps only its last changes.
     lists
         Canonical JSON of new lists, or None.
+    repeated
+        Whether an earlier attempt with this id may have taken effect.
     """
 
     author: str
@@ -46,6 +50,7 @@
     argument: str = ""
     based_on: int | None = None
     lists: bytes | None = None
+    repeated: bool = False
 
 
 class ApplyErrorKind(Enum):
@@ -55,11 +60,12 @@
     REFUSED = "refused"
     UNAVAILABLE = "unavailable"
     UNRESOLVED = "unresolved"
+    HISTORY_EXCEEDED = "history_exceeded"
 
 
 @dataclass(frozen=True, slots=True)
 class ApplyError:
-    """A change that did not take effect, or whose fate is unknown.
+    """A change that did not take effect, or whose outcome is unknown.
 
     Attributes
     ----------
@@ -70,7 +76,7 @@
     based_on
         Version that the change was based on, if known.
     current
-        The configuration of the other change, for a conflict.
+        The configuration in the store, for a conflict and for a repeat beyond the history.
     """
 
     kind: ApplyErrorKind
@@ -113,6 +119,11 @@
         return Failure(ApplyError(ApplyErrorKind.REFUSED, str(error)))
 
 
+def read_catalog(store: StoreAsker) -> Result[tuple[Configuration, Catalog], ApplyError]:
+    """Read the configuration and its lists; both are empty before the first change."""
+    return read_configuration(store).bind(lambda known: _fetch_catalog(store, known[1]))
+
+
 def apply_change(store: StoreAsker, change: Change) -> ApplyResult:
     """Apply a change and return once it is durable.
 
@@ -121,6 +132,11 @@
     KeyError
         If the registry has no such edit.
     """
+    applied = _apply(store, change)
+    return applied.alt(_in_doubt) if change.repeated else applied
+
+
+def _apply(store: StoreAsker, change: Change) -> ApplyResult:
     if change.lists is not None:
         # A row never names an object that is not yet stored.
         name = object_name(change.lists)
@@ -131,6 +147,20 @@
     return read_configuration(store).bind(lambda known: _write_change(store, change, *known))
 
 
+def _fetch_catalog(
+    store: StoreAsker, configuration: Configuration
+) -> Result[tuple[Configuration, Catalog], ApplyError]:
+    if not configuration.object_name:
+        return Success((configuration, Catalog((), ())))
+    fetched = ask_store(store, ReadObject(configuration.object_name))
+    if not is_successful(fetched):
+        return Failure(_store_failure(fetched.failure(), None))
+    try:
+        return Success((configuration, decode_catalog(fetched.unwrap())))
+    except ValueError as error:
+        return Failure(ApplyError(ApplyErrorKind.REFUSED, str(error)))
+
+
 def _write_change(
     store: StoreAsker, change: Change, row: Row, current: Configuration
 ) -> ApplyResult:
@@ -139,7 +169,8 @@
             return Success(Applied(applied.version, applied.version - 1, changed=True))
     based_on = row.version if change.based_on is None else change.based_on
     if based_on != row.version:
-        return Failure(_conflict(based_on, current))
+        # The body is made from the row as it was read, so it is valid for no other base.
+        return Failure(_lost_race(change, based_on, row, current))
     edited = edits.get(change.edit)(current, change.argument)
     if not edited.object_name:
         detail = "there are no lists yet; apply customers and plans first"
@@ -148,13 +179,34 @@
         return Success(Applied(based_on, based_on, changed=False))
     wanted = replace(edited, author=change.author, change_id=change.change_id, based_on=based_on)
     body = encode_configuration(wanted)
-    message = WriteRow(CONFIGURATION_KEY, body, based_on, change.change_id)
+    message = WriteRow(CONFIGURATION_KEY, body, based_on, change.change_id, change.repeated)
     written = ask_store(store, message)
     if not is_successful(written):
         return Failure(_store_failure(written.failure(), based_on))
     return Success(Applied(written.unwrap().version, based_on, changed=True))
 
 
+def _in_doubt(error: ApplyError) -> ApplyError:
+    """Return the error of a repeat, whose earlier attempt may have taken effect."""
+    if error.kind is ApplyErrorKind.UNAVAILABLE:
+        return replace(error, kind=ApplyErrorKind.UNRESOLVED)
+    return error
+
+
+def _lost_race(change: Change, based_on: int, row: Row, current: Configuration) -> ApplyError:
+    if change.repeated and not row.covers(based_on + 1):
+        return _history_exceeded(based_on, current)
+    return _conflict(based_on, current)
+
+
+def _history_exceeded(based_on: int, current: Configuration) -> ApplyError:
+    detail = (
+        f"version {current.version} is current and no longer tells whether the earlier attempt "
+        f"took effect as version {based_on + 1}"
+    )
+    return ApplyError(ApplyErrorKind.HISTORY_EXCEEDED, detail, based_on, current)
+
+
 def _conflict(based_on: int, current: Configuration) -> ApplyError:
     detail = (
         f"the change is based on version {based_on}, "
@@ -164,12 +216,13 @@
 
 
 def _store_failure(error: StoreError, based_on: int | None) -> ApplyError:
-    if error.kind is StoreErrorKind.CONFLICT and error.current is not None:
+    if error.current is not None:
         try:
             current = decode_configuration(error.current.version, error.current.body)
         except ValueError as malformed:
             return ApplyError(ApplyErrorKind.REFUSED, str(malformed), based_on)
-        return _conflict(based_on or 0, current)
+        is_conflict = error.kind is StoreErrorKind.CONFLICT
+        return (_conflict if is_conflict else _history_exceeded)(based_on or 0, current)
     kind = _APPLY_KIND_BY_STORE_KIND.get(error.kind, ApplyErrorKind.REFUSED)
     return ApplyError(kind, error.detail, based_on)
 
--- a/packages/damasktide/src/damasktide/store/rows.py
+++ b/packages/damasktide/src/damasktide/store/rows.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-REMEMBERED_CHANGES = 16
+KEPT_CHANGES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +53,10 @@
         """Return the row that stands for an absent one."""
         return cls(key, 0, "", "")
 
+    def covers(self, version: int) -> bool:
+        """Return whether the changes say which change created ``version``."""
+        return any(change.version <= version for change in self.changes)
+
 
 @dataclass(frozen=True, slots=True)
 class WriteRow:
@@ -69,17 +73,20 @@
     change_id
         Id of the change; a repeat of the same change carries the same id. At most 36
         characters, the limit of the table service for request tokens.
+    repeated
+        Whether an earlier attempt with this id may have taken effect.
     """
 
     key: str
     body: str
     based_on: int
     change_id: str
+    repeated: bool = False
 
     def applied_to(self, before: tuple[AppliedChange, ...]) -> Row:
         """Return the row that this write creates from a row with the changes ``before``."""
         version = self.based_on + 1
-        changes = (*before, AppliedChange(self.change_id, version))[-REMEMBERED_CHANGES:]
+        changes = (*before, AppliedChange(self.change_id, version))[-KEPT_CHANGES:]
         return Row(self.key, version, self.body, self.change_id, changes)
 
 
@@ -91,7 +98,9 @@
     CONFLICT = "conflict"
     """Another change came first; the error holds the current row."""
     UNRESOLVED = "unresolved"
-    """The response to a write was lost and the row could not be read back in time."""
+    """It is unknown whether a write took effect: its response was lost and the row could not
+    be read back in time, or the row's history no longer reaches back to it. In the second case
+    the error holds the row."""
     NOT_FOUND = "not_found"
     """The object store has no object of that name."""
     CORRUPT = "corrupt"
--- a/packages/damasktide/src/damasktide/store/table_client.py
+++ b/packages/damasktide/src/damasktide/store/table_client.py
@@ -46,7 +46,7 @@
         self._table = endpoints.table
         self._transport = HttpTransport(endpoints.table_url, endpoints.timeout_s)
         self._clock = clock or MonotonicClock()
-        self._known_by_key: dict[str, tuple[int, tuple[AppliedChange, ...]]] = {}
+        self._history_by_key: dict[str, tuple[int, tuple[AppliedChange, ...]]] = {}
 
     def read(self, key: str) -> Result[RowRead, StoreError]:
         """Read a row; an absent one has version 0."""
@@ -63,15 +63,19 @@
             row = table_codec.decode_row(key, reply.body)
         except ValueError as error:
             return Failure(StoreError(StoreErrorKind.CORRUPT, str(error)))
-        self._remember(row)
+        self._keep_history(row)
         return Success(RowRead(row, asked_at))
 
-    def write(self, key: str, body: str, based_on: int, change_id: str) -> Result[Row, StoreError]:
+    def write(
+        self, key: str, body: str, based_on: int, change_id: str, repeated: bool = False
+    ) -> Result[Row, StoreError]:
         """Write a row if its version is ``based_on``; return the row that the write created.
 
-        A repeat with the same ``change_id`` never takes effect twice.
+        A repeat with the same ``change_id`` and ``based_on`` never takes effect twice;
+        ``repeated`` says that an earlier attempt may have taken effect.
         """
-        written = self.write_rows((WriteRow(key, body, based_on, change_id),))
+        write = WriteRow(key, body, based_on, change_id, repeated)
+        written = self.write_rows((write,))
         return written.map(lambda rows: rows[0])
 
     def write_rows(self, writes: tuple[WriteRow, ...]) -> WriteResult:
@@ -84,12 +88,12 @@
         """
         if len({write.change_id for write in writes}) != 1:
             raise ValueError("the writes of one call carry one change id")
-        progress = WriteProgress(writes, self._clock.now() + WRITE_BUDGET_S)
+        progress = WriteProgress.begin(writes, self._clock.now() + WRITE_BUDGET_S)
         progress, step = self._first_step(progress)
         while not isinstance(step, Finished):
             progress, step = self._take(progress, step)
         for row in step.result.value_or(()):
-            self._remember(row)
+            self._keep_history(row)
         return step.result
 
     def close(self) -> None:
@@ -100,7 +104,7 @@
         """Skip the first read if the changes of each row at its version are known."""
         rows = []
         for write in progress.writes:
-            version, changes = self._known_by_key.get(write.key, (-1, ()))
+            version, changes = self._history_by_key.get(write.key, (-1, ()))
             if version != write.based_on:
                 return progress, ReadBack(0.0)
             rows.append(Row(write.key, version, "", "", changes))
@@ -134,5 +138,5 @@
         error = called.failure()
         return (WriteReply.LOST if error.sent else WriteReply.NOT_APPLIED), error.detail
 
-    def _remember(self, row: Row) -> None:
-        self._known_by_key[row.key] = (row.version, row.changes)
+    def _keep_history(self, row: Row) -> None:
+        self._history_by_key[row.key] = (row.version, row.changes)
--- a/packages/damasktide/src/damasktide/store/tests/test_clients.py
+++ b/packages/damasktide/src/damasktide/store/tests/test_clients.py
@@ -7,7 +7,7 @@
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.messages import ReadObject, ReadRow, WriteObject, WriteRows
 from damasktide.store.object_client import object_name
-from damasktide.store.rows import REMEMBERED_CHANGES, RowRead, StoreErrorKind, WriteRow
+from damasktide.store.rows import KEPT_CHANGES, RowRead, StoreErrorKind, WriteRow
 from damasktide.store.store_task import StoreTask
 from damasktide.store.table_client import TableClient
 from damasktide_standins.platform.server import PlatformServer
@@ -23,7 +23,7 @@
         self.other = TableClient(self.endpoints)
 
     def drop_answers(self, count: int) -> None:
-        self.platform.app.faults.change({"drop_answers": count})
+        self.platform.app.change_faults({"drop_answers": count})
 
 
 class TableClientTest(StoreCase):
@@ -38,18 +38,18 @@
         """Guards against a false conflict when another writer follows before the read-back."""
         self.client.write("row", '"start"', 0, "c0").unwrap()
         self.drop_answers(1)
-        self.platform.app.faults.change({"slow_ms": 60})
+        self.platform.app.change_faults({"slow_ms": 60})
         writer = gevent.spawn(self.client.write, "row", '"ours"', 1, "c1")
         while self.platform.app.faults.current.drop_answers:
             gevent.sleep(0.005)
-        self.platform.app.faults.change({"slow_ms": 0})
+        self.platform.app.change_faults({"slow_ms": 0})
         self.other.write("row", '"other"', 2, "c2").unwrap()
         written = writer.get(timeout=5).unwrap()
         self.assertEqual((written.version, written.body), (2, '"ours"'))
         self.assertEqual(self.client.read("row").unwrap().row.body, '"other"')
 
     def test_racing_writers_get_one_winner_and_the_row_of_the_other(self) -> None:
-        """Guards against both writers of one version believing that they won."""
+        """Guards against both writers of one version reporting success."""
         results = [
             job.get(timeout=5)
             for job in [
@@ -69,17 +69,17 @@
             self.assertEqual(client.write("row", "1", based_on, "c1").unwrap().version, 1)
         self.assertEqual(self.other.read("row").unwrap().row.version, 1)
 
-    def test_row_remembers_a_bounded_number_of_changes(self) -> None:
+    def test_history_of_a_row_is_bounded(self) -> None:
         """Guards against rows that grow with each write."""
-        for version in range(REMEMBERED_CHANGES + 4):
+        for version in range(KEPT_CHANGES + 4):
             self.client.write("row", "{}", version, f"c{version}").unwrap()
         changes = self.other.read("row").unwrap().row.changes
         self.assertEqual([changes[0].version, changes[-1].version], [5, 20])
 
-    def test_store_that_is_down_or_gone(self) -> None:
+    def test_store_that_is_down_or_refuses_connections(self) -> None:
         """Guards against 'unavailable' for a write that may have been received."""
         self.client.write("row", "1", 0, "c1").unwrap()
-        self.platform.app.faults.change({"down": True})
+        self.platform.app.change_faults({"down": True})
         error = self.client.write("row", "2", 1, "c2").failure()
         self.assertIs(error.kind, StoreErrorKind.UNRESOLVED)
         self.platform.stop()
@@ -88,7 +88,7 @@
 
     def test_slow_store_ends_the_call_in_time(self) -> None:
         """Guards against readers that hang on a slow store."""
-        self.platform.app.faults.change({"slow_ms": 2000})
+        self.platform.app.change_faults({"slow_ms": 2000})
         start = time.monotonic()
         error = self.client.read("row").failure()
         self.assertLess(time.monotonic() - start, 1.0)
@@ -116,7 +116,7 @@
 
     def test_read_carries_the_time_at_which_it_was_asked(self) -> None:
         """Guards against rights that count from the response of a slow read."""
-        self.platform.app.faults.change({"slow_ms": 100})
+        self.platform.app.change_faults({"slow_ms": 100})
         before = time.monotonic()
         read = self.task.ask(ReadRow("row")).unwrap()
         self.assertIsInstance(read, RowRead)
