Add the balancing policy experiment and fit power_of_two to it

Ruled out: trust in every report (counts change within a call and arrive 1 s late); ejection after two slow responses (more false ejections with two request classes). Change: only reports that all slots are taken count, as one call; latencies up to 1.25 times the median count as equal; a call cancelled late counts as slow, so that hedges do not hide a straggler. A queueing model over the real objects in the stand-ins, with a matching by linear program as a candidate.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/policy_model.py
@@ -0,0 +1,277 @@
+"""A discrete-event model of callers, instances and targets over the real balancing objects."""
+
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from heapq import heappop, heappush
+from math import floor
+from random import Random
+
+from damasktide.balancing.balancer import Balancer
+from damasktide.balancing.locality import LinkBudget, Locality
+from damasktide.balancing.messages import (
+    CallOutcome,
+    Done,
+    LoadReported,
+    Pick,
+    Picked,
+    SharesChanged,
+)
+from damasktide.balancing.outliers import MAX_EJECTED_FRACTION, OutlierDetector
+from damasktide.balancing.policies import BalancingPolicy, balancing_policies
+from damasktide.forwarding.hedging import Hedging
+from damasktide.forwarding.retry_budget import RetryBudget
+from damasktide.limits.shares import share_by_server
+from damasktide.membership.instances import Instance
+from damasktide_standins.class_policy import LeastWaitByClass
+from damasktide_standins.policy_scenarios import (
+    SLOTS,
+    STRAGGLE_S,
+    STRAGGLER_FACTOR,
+    Candidate,
+    Scenario,
+)
+
+REFRESH_S = 0.1
+REPORT_PERIOD_S = 0.5
+REPORT_LAG_S = 1.0
+WARM_UP_S = 2.0
+WINDOW_S = 10.0
+WORK_SHAPE = 4.0
+LINK_BYTES_PER_S = 1e12
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of a request to a target."""
+
+    server: int
+    kind: int
+    started_at: float
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class Request:
+    """A request and its calls: one, or two when it is hedged."""
+
+    arrived_at: float
+    kind: int
+    work: float
+    calls: list[Call] = field(default_factory=list)
+    done: bool = False
+
+
+@dataclass(slots=True)
+class Router:
+    """The decision objects of one instance and its waiting requests by class."""
+
+    balancer: Balancer
+    policy: BalancingPolicy
+    hedging: Hedging
+    budget: RetryBudget
+    queues: tuple[deque[Request], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """Raw results of a run after its warm-up.
+
+    Attributes
+    ----------
+    latencies_s
+        Seconds from the arrival of a request to its response.
+    load_by_window
+        Slot seconds of each target in each window.
+    calls
+        Calls per request.
+    """
+
+    latencies_s: list[float]
+    load_by_window: list[list[float]]
+    calls: float
+
+
+class PolicyModel:
+    """One run of a candidate in a scenario.
+
+    Parameters
+    ----------
+    scenario, candidate
+        What is run.
+    seed
+        Seed of all randomness.
+    seconds
+        Simulated seconds.
+    """
+
+    def __init__(
+        self, scenario: Scenario, candidate: Candidate, seed: int, seconds: float
+    ) -> None:
+        self._scenario = scenario
+        self._candidate = candidate
+        self._seconds = seconds
+        # Arrivals and stragglers have their own stream, so that all candidates meet the same.
+        self._rng = Random(seed)
+        self._slow = [
+            frozenset(self._rng.sample(range(len(scenario.targets)), scenario.stragglers))
+            for _ in range(int(seconds / STRAGGLE_S) + 100)
+        ]
+        self._routers = [
+            self._router(instance, Random(seed * 1000 + index))
+            for index, instance in enumerate(scenario.members)
+        ]
+        self._index_by_server = {
+            target.server_id: index for index, target in enumerate(scenario.targets)
+        }
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._now = 0.0
+        self._in_flight = [0] * len(scenario.targets)
+        self._latencies: list[float] = []
+        self._load: dict[int, list[float]] = {}
+        self._counts: Counter[str] = Counter()
+
+    def run(self) -> Measured:
+        """Run to the end and return what was measured."""
+        self._arrive_later()
+        self._refresh()
+        if self._candidate.reports:
+            self._report()
+        while self._events and self._now < self._seconds:
+            self._now, _, action = heappop(self._events)
+            action()
+        windows = range(int((self._seconds - WARM_UP_S) / WINDOW_S))
+        load = [self._load[window] for window in windows if window in self._load]
+        calls = self._counts["calls"] / max(1, self._counts["requests"])
+        return Measured(self._latencies, load, calls)
+
+    def _router(self, instance: Instance, rng: Random) -> Router:
+        scenario, candidate = self._scenario, self._candidate
+        policy = balancing_policies.get(candidate.policy)(rng)
+        balancer = Balancer(
+            Locality(instance.domain, instance.region),
+            policy,
+            LinkBudget(LINK_BYTES_PER_S, 0.0),
+            OutlierDetector(MAX_EJECTED_FRACTION if candidate.ejection else 0.0),
+        )
+        balancer.set_targets(0.0, scenario.targets)
+        shares = share_by_server(instance, scenario.members, scenario.targets)
+        balancer.set_shares(0.0, SharesChanged(shares, LINK_BYTES_PER_S))
+        queues = (deque[Request](), deque[Request]())
+        return Router(balancer, policy, Hedging(), RetryBudget(), queues)
+
+    def _at(self, time: float, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        heappush(self._events, (time, self._sequence, action))
+
+    def _arrive_later(self) -> None:
+        self._at(self._now + self._rng.expovariate(self._scenario.arrivals_per_s), self._arrive)
+
+    def _arrive(self) -> None:
+        rng = self._rng
+        router = self._routers[int(rng.random() * len(self._routers))]
+        kind = int(rng.random() >= self._scenario.alpha[0])
+        request = Request(self._now, kind, rng.gammavariate(WORK_SHAPE, 1.0 / WORK_SHAPE))
+        router.budget.count_request(self._now)
+        self._counts["requests"] += 1
+        # Without matching, all classes wait in one line.
+        router.queues[kind if self._candidate.matching else 0].append(request)
+        self._arrive_later()
+        self._drain(router)
+
+    def _drain(self, router: Router) -> None:
+        for queue in router.queues:
+            while queue and self._start(router, queue[0], ()):
+                queue.popleft()
+
+    def _start(self, router: Router, request: Request, exclude: tuple[str, ...]) -> bool:
+        if isinstance(router.policy, LeastWaitByClass):
+            router.policy.request_class = request.kind
+        picked = router.balancer.pick(self._now, self._pick(request, exclude))
+        if not isinstance(picked, Picked) and self._candidate.matching == "spill":
+            picked = router.balancer.pick(self._now, Pick(exclude=exclude))
+        if not isinstance(picked, Picked):
+            return False
+        server = self._index_by_server[picked.target.server_id]
+        call = Call(server, request.kind, self._now)
+        request.calls.append(call)
+        self._in_flight[server] += 1
+        self._counts["calls"] += 1
+        end = self._end_time(server, request.work * self._scenario.service_s(request.kind, server))
+        self._at(end, partial(self._end, router, request, call))
+        if self._candidate.hedging and len(request.calls) == 1:
+            delay_s = router.hedging.plan().delay_for(idempotent=True, remaining_s=float("inf"))
+            if delay_s is not None:
+                self._at(self._now + delay_s, partial(self._hedge, router, request))
+        return True
+
+    def _pick(self, request: Request, exclude: tuple[str, ...]) -> Pick:
+        if not self._candidate.matching:
+            return Pick(exclude=exclude)
+        return Pick(exclude=exclude + self._scenario.unmatched[request.kind])
+
+    def _hedge(self, router: Router, request: Request) -> None:
+        if request.done or len(request.calls) > 1 or not router.budget.spend(self._now):
+            return
+        server = request.calls[0].server
+        self._start(router, request, (self._scenario.targets[server].server_id,))
+
+    def _end(self, router: Router, request: Request, call: Call) -> None:
+        if call.ended:
+            return
+        request.done = True
+        self._finish(router, call, CallOutcome.OK)
+        for other in request.calls:
+            if not other.ended:
+                self._finish(router, other, CallOutcome.CANCELLED)
+        router.hedging.observe(self._now - request.calls[0].started_at)
+        if request.arrived_at >= WARM_UP_S:
+            self._latencies.append(self._now - request.arrived_at)
+        self._drain(router)
+
+    def _finish(self, router: Router, call: Call, outcome: CallOutcome) -> None:
+        call.ended = True
+        seconds = self._now - call.started_at
+        server_id = self._scenario.targets[call.server].server_id
+        self._in_flight[call.server] -= 1
+        router.balancer.finish(self._now, Done(server_id, seconds, outcome))
+        if isinstance(router.policy, LeastWaitByClass):
+            router.policy.observe(call.kind, server_id, seconds)
+        window = floor((call.started_at - WARM_UP_S) / WINDOW_S)
+        load = self._load.setdefault(window, [0.0] * len(self._in_flight))
+        load[call.server] += seconds
+
+    def _end_time(self, server: int, work_s: float) -> float:
+        """Return when ``work_s`` seconds of work end, at the target's speed in each moment."""
+        now, period = self._now, int(self._now / STRAGGLE_S)
+        while True:
+            speed = 1.0 / STRAGGLER_FACTOR if server in self._slow[period] else 1.0
+            period += 1
+            done_s = (period * STRAGGLE_S - now) * speed
+            if work_s <= done_s:
+                return now + work_s / speed
+            work_s -= done_s
+            now = period * STRAGGLE_S
+
+    def _refresh(self) -> None:
+        for router in self._routers:
+            router.balancer.refresh(self._now)
+            if self._candidate.hedging:
+                fraction = router.balancer.status(self._now).slow_fraction
+                router.hedging.set_slow_fraction(fraction)
+            self._drain(router)
+        self._at(self._now + REFRESH_S, self._refresh)
+
+    def _report(self) -> None:
+        seen = [min(SLOTS, count) for count in self._in_flight]
+        self._at(self._now + REPORT_LAG_S, partial(self._deliver, seen))
+        self._at(self._now + REPORT_PERIOD_S, self._report)
+
+    def _deliver(self, seen: list[int]) -> None:
+        for router in self._routers:
+            for target, count in zip(self._scenario.targets, seen, strict=True):
+                # The router does not know the lag, so it takes the report as fresh.
+                report = LoadReported(target.server_id, count, "boot-1")
+                router.balancer.report_load(self._now, report)
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/policy_scenarios.py
@@ -0,0 +1,175 @@
+"""Scenarios and candidates of the policy experiment."""
+
+from dataclasses import dataclass
+from functools import cached_property
+
+from damasktide.balancing.targets import Target
+from damasktide.membership.instances import Instance
+from damasktide_standins.class_matching import Matching, match_two_classes
+
+TARGETS = 25
+SLOTS = 6
+SERVICE_S = 0.02
+LOAD = 0.5
+STRAGGLER_FACTOR = 10.0
+STRAGGLE_S = 2.0
+DOMAINS = (("a", "north"), ("c", "south"), ("b", "north"), ("d", "south"))
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of target.
+
+    Attributes
+    ----------
+    count
+        Targets of this kind.
+    factors
+        Service time of each request class as a multiple of the standard one.
+    """
+
+    count: int
+    factors: tuple[float, float] = (1.0, 1.0)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Instances, targets and requests of a run.
+
+    Attributes
+    ----------
+    name
+        Name in the table.
+    instances
+        Instances that share the slots.
+    stragglers
+        Targets that are slow at any moment; others take their place every 2 s.
+    kinds
+        Kinds of targets.
+    alpha
+        Fraction of the requests in each class.
+    planned_alpha
+        Fractions for which the matching was computed, or None for the true ones.
+    spread
+        Whether instances and targets stand in four failure domains instead of one.
+    """
+
+    name: str
+    instances: int = 1
+    stragglers: int = 0
+    kinds: tuple[Kind, ...] = (Kind(TARGETS),)
+    alpha: tuple[float, float] = (0.5, 0.5)
+    planned_alpha: tuple[float, float] | None = None
+    spread: bool = False
+
+    @cached_property
+    def targets(self) -> tuple[Target, ...]:
+        """Targets in the order of their kinds."""
+        return tuple(
+            Target(f"t{index}", "desk", *self._place(index), "127.0.0.1", 1, SLOTS)
+            for index in range(sum(kind.count for kind in self.kinds))
+        )
+
+    @cached_property
+    def members(self) -> tuple[Instance, ...]:
+        """Instances that share the slots."""
+        return tuple(
+            Instance(f"i{index}", *self._place(index), "127.0.0.1", 1, 2)
+            for index in range(self.instances)
+        )
+
+    @cached_property
+    def matching(self) -> Matching:
+        """Solution of the linear program for the planned fractions."""
+        return self._match(self.planned_alpha or self.alpha)
+
+    @cached_property
+    def arrivals_per_s(self) -> float:
+        """Requests per second at half of the largest load that the targets can serve."""
+        return LOAD * self._match(self.alpha).capacity_per_s
+
+    def _match(self, alpha: tuple[float, float]) -> Matching:
+        slots_per_s = SLOTS / SERVICE_S
+        rates = [
+            (
+                kind.count * slots_per_s / kind.factors[0],
+                kind.count * slots_per_s / kind.factors[1],
+            )
+            for kind in self.kinds
+        ]
+        return match_two_classes(alpha, rates)
+
+    @cached_property
+    def unmatched(self) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """Targets that each class may not use because its delta is 0."""
+        first, second = (
+            tuple(
+                target.server_id
+                for index, target in enumerate(self.targets)
+                if delta[self._kind_by_server[index]] <= 0.0
+            )
+            for delta in self.matching.delta
+        )
+        return first, second
+
+    def service_s(self, request_class: int, server: int) -> float:
+        """Return the mean seconds of service of a class at a target."""
+        return SERVICE_S * self.kinds[self._kind_by_server[server]].factors[request_class]
+
+    @cached_property
+    def _kind_by_server(self) -> tuple[int, ...]:
+        return tuple(index for index, kind in enumerate(self.kinds) for _ in range(kind.count))
+
+    def _place(self, index: int) -> tuple[str, str]:
+        return DOMAINS[index % len(DOMAINS)] if self.spread else DOMAINS[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A policy with its additions.
+
+    Attributes
+    ----------
+    name
+        Name in the table.
+    policy
+        Key in the registry of balancing policies.
+    hedging, ejection, reports
+        Whether calls are hedged, outliers ejected and load reports used.
+    matching
+        Empty, or "strict" or "spill" for matched targets only or first.
+    """
+
+    name: str
+    policy: str
+    hedging: bool = False
+    ejection: bool = True
+    reports: bool = True
+    matching: str = ""
+
+
+PRODUCT_VS_SIZE = (Kind(13, (1.0, 4.0)), Kind(12, (2.0, 8.0)))
+AFFINITY = (Kind(13, (1.0, 1.0)), Kind(12, (1.0, 4.0)))
+SHORT_AND_LONG = (0.8, 0.2)
+
+SCENARIOS = (
+    *(Scenario(f"1 instance, {n} stragglers", stragglers=n) for n in (0, 1, 3)),
+    *(Scenario(f"10 instances, {n} stragglers", 10, n, spread=True) for n in (0, 1, 3)),
+    Scenario("1 instance, two speeds", kinds=PRODUCT_VS_SIZE, alpha=SHORT_AND_LONG),
+    Scenario("1 instance, affinity", kinds=AFFINITY),
+    Scenario("10 instances, affinity", 10, kinds=AFFINITY, spread=True),
+    Scenario("1 instance, old mix", kinds=AFFINITY, alpha=(0.2, 0.8), planned_alpha=(0.7, 0.3)),
+    Scenario("10 instances, one domain", 10),
+)
+
+CANDIDATES = (
+    *(Candidate(name, name) for name in ("random", "round_robin", "least_in_flight")),
+    Candidate("power_of_two", "power_of_two"),
+    Candidate("power_of_two, hedged", "power_of_two", hedging=True),
+    Candidate("power_of_two, no ejection", "power_of_two", ejection=False),
+    Candidate("power_of_two, no reports", "power_of_two", reports=False),
+    Candidate("random, hedged", "random", hedging=True),
+    Candidate("least_wait_by_class", "least_wait_by_class"),
+    Candidate("matching", "power_of_two", matching="strict"),
+    Candidate("matching, spill", "power_of_two", matching="spill"),
+)
--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -216,7 +216,7 @@
             # A call cancelled early says nothing about the target's speed.
             return
         state.add_latency(now, latency_s)
-        if is_far_above(latency_s, median_s):
+        if is_far_above(latency_s, median_s, done.outcome):
             state.consecutive_slow += 1
         elif done.outcome is CallOutcome.OK:
             state.consecutive_slow = 0
--- a/packages/damasktide/src/damasktide/balancing/outliers.py
+++ b/packages/damasktide/src/damasktide/balancing/outliers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from statistics import median
 
+from damasktide.balancing.messages import CallOutcome
 from damasktide.balancing.state import TargetState
 
 MAX_CONSECUTIVE_FAILURES = 5
@@ -26,9 +27,15 @@
     return median_s > 0.0 and state.latency_s(now, median_s) > SLOW_LATENCY_FACTOR * median_s
 
 
-def is_far_above(latency_s: float, median_s: float) -> bool:
-    """Return whether one response was so slow that it counts towards ejection."""
-    return median_s > 0.0 and latency_s > EJECT_LATENCY_FACTOR * median_s
+def is_far_above(latency_s: float, median_s: float, outcome: CallOutcome) -> bool:
+    """Return whether one call was so slow that it counts towards ejection.
+
+    A cancelled call would have taken longer than it did. Without the lower bound for it,
+    hedges that win would hide a straggler, whose freed slots then attract more work.
+    """
+    cancelled = outcome is CallOutcome.CANCELLED
+    factor = SLOW_LATENCY_FACTOR if cancelled else EJECT_LATENCY_FACTOR
+    return median_s > 0.0 and latency_s > factor * median_s
 
 
 class OutlierDetector:
--- a/packages/damasktide/src/damasktide/balancing/policies.py
+++ b/packages/damasktide/src/damasktide/balancing/policies.py
@@ -9,6 +9,7 @@
 
 # Before the first sample all latencies are 0, and the load alone must decide.
 MIN_LATENCY_S = 1e-6
+LATENCY_TOLERANCE = 1.25
 
 
 class BalancingPolicy(Protocol):
@@ -110,5 +111,5 @@
 
 
 def _expected_wait_s(state: TargetState, now: float, median_s: float) -> float:
-    latency_s = state.latency_s(now, median_s) + MIN_LATENCY_S
+    latency_s = max(state.latency_s(now, median_s), LATENCY_TOLERANCE * median_s) + MIN_LATENCY_S
     return (state.load(now) + 1.0) * latency_s
--- a/packages/damasktide/src/damasktide/balancing/state.py
+++ b/packages/damasktide/src/damasktide/balancing/state.py
@@ -9,6 +9,8 @@
 LATENCY_TAU_S = 1.0
 MIN_SAMPLE_WEIGHT = 0.1
 REPORT_TAU_S = 1.0
+# A late report must not outweigh what this instance sees itself, so it counts as one call.
+FULL_REPORT_CALLS = 1.0
 
 
 class TargetState:
@@ -45,7 +47,7 @@
         "_latency_at",
         "_latency_s",
         "_reported_at",
-        "_reported_others",
+        "_reported_full",
         "consecutive_failures",
         "consecutive_slow",
         "ejected_until",
@@ -75,7 +77,7 @@
         self.readmitted_at = 0.0
         self._latency_s = 0.0
         self._latency_at: float | None = None
-        self._reported_others = 0
+        self._reported_full = False
         self._reported_at = 0.0
 
     @property
@@ -111,13 +113,17 @@
         return median_s + (self._latency_s - median_s) * decay
 
     def add_report(self, now: float, in_flight: int, age_s: float) -> None:
-        """Take in the target's own count of running requests."""
-        self._reported_others = max(0, in_flight - self.in_flight)
+        """Take in the target's own count of running requests.
+
+        Only a report that all slots are taken counts. Lower counts change within a call, so
+        that a report of them is noise by the time it arrives.
+        """
+        self._reported_full = in_flight >= self.target.slots
         self._reported_at = now - age_s
 
     def load(self, now: float) -> float:
-        """Return own calls plus reported calls of others, discounted by the report's age."""
-        if not self._reported_others:
+        """Return own calls, plus a penalty for a full report, discounted by its age."""
+        if not self._reported_full:
             return self.in_flight
         age_s = now - self._reported_at
-        return self.in_flight + self._reported_others * exp(-age_s / REPORT_TAU_S)
+        return self.in_flight + FULL_REPORT_CALLS * exp(-age_s / REPORT_TAU_S)
