Add a deterministic world for the ownership decisions

Cause: the ownership decisions had never been run. Ruled out: running them over sockets, which cannot be repeated by a seed. Conclusion: bounds on unavailable time and the mutations are still missing.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic world in which the ownership decisions run under faults."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/table.py
@@ -0,0 +1,62 @@
+"""A table service with one row and conditional writes."""
+
+from collections.abc import Callable
+
+from damasktide.ownership.shard_map import ShardMap
+from damasktide_standins.ownership_world.events import EventQueue
+from damasktide_standins.ownership_world.node import Node
+
+SERVICE_TIME_S = 0.005
+
+
+class FakeTable(Node):
+    """Linearizable: each operation takes effect at one moment, before its answer is sent.
+
+    Parameters
+    ----------
+    queue
+        Simulated time.
+    region
+        Region in which the table stands.
+    """
+
+    def __init__(self, queue: EventQueue, region: str) -> None:
+        super().__init__(queue, "table", "platform", region)
+        self.row: ShardMap | None = None
+        self.change_id = ""
+        self.is_down = False
+        self.delay_s = SERVICE_TIME_S
+        self.lost_write_answers = 0
+
+    def read(self, answer: Callable[[ShardMap | None, str], None]) -> None:
+        """Answer with the row and the id of the change that made it."""
+        if self.is_down:
+            return
+        row, change_id = self.row, self.change_id
+        self.after(self.delay_s, lambda: self._unless_down(lambda: answer(row, change_id)))
+
+    def write(
+        self, row: ShardMap, based_on: int, change_id: str, answer: Callable[[bool], None]
+    ) -> None:
+        """Replace the row if its version is ``based_on``; answer whether it was."""
+        if not self.is_down:
+            self.after(self.delay_s, lambda: self._apply(row, based_on, change_id, answer))
+
+    def _apply(
+        self, row: ShardMap, based_on: int, change_id: str, answer: Callable[[bool], None]
+    ) -> None:
+        if self.is_down:
+            return
+        current = self.row.version if self.row is not None else 0
+        written = current == based_on
+        if written:
+            self.row = row
+            self.change_id = change_id
+        if written and self.lost_write_answers > 0:
+            self.lost_write_answers -= 1
+            return
+        answer(written)
+
+    def _unless_down(self, action: Callable[[], None]) -> None:
+        if not self.is_down:
+            action()
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ownership decisions in the world."""
