Take version and draining of a server from the same response

Cause: a refused grant changed draining but not the accepted version, and responses that overtake each other were not ordered. A refusal sent before the server accepted the fence, and received after it, showed 0 draining requests for the newer version, so a move completed while requests still ran. Ruled out: ignoring refusals, because a refusal also shows what another renewer has fenced. Change: version and draining come from one response; a response that is older by version and clock of the same boot counts as a sign of life only. The version of a server rises with accepted grants only. Conclusion: both tests fail without the change.

--- a/packages/damasktide/src/damasktide/ownership/contacts.py
+++ b/packages/damasktide/src/damasktide/ownership/contacts.py
@@ -20,10 +20,10 @@
         Time of the last response, or of a peer's last response.
     reached_since
         Start of the present run of responses without a gap.
-    term, basis_ms
-        From the last response; empty before the first.
+    boot_id, term, basis_ms
+        From the latest response; empty before the first.
     accepted_version
-        Map version of the last grant that the server accepted.
+        Highest map version of the grants that the server has accepted since its boot.
     draining
         Running requests for shards that the server no longer owns.
     """
@@ -31,6 +31,7 @@
     watched_since: float
     reached_at: float = NEVER
     reached_since: float = NEVER
+    boot_id: str = ""
     term: str = ""
     basis_ms: int = 0
     accepted_version: int = 0
@@ -75,14 +76,17 @@
         if contact is None:
             return
         reached_since = contact.reached_since if contact.is_reached(now) else now
-        accepted_version = reply.version if reply.accepted else contact.accepted_version
+        reached = replace(contact, reached_at=now, reached_since=reached_since)
+        if reply.boot_id == contact.boot_id and _is_overtaken(contact, reply):
+            # An overtaken response shows that the server is alive, but not its present state.
+            self._contact_by_id[server_id] = reached
+            return
         self._contact_by_id[server_id] = replace(
-            contact,
-            reached_at=now,
-            reached_since=reached_since,
+            reached,
+            boot_id=reply.boot_id,
             term=reply.term,
             basis_ms=reply.now_ms,
-            accepted_version=accepted_version,
+            accepted_version=reply.version,
             draining=reply.draining,
         )
 
@@ -99,3 +103,9 @@
             for server_id, contact in self._contact_by_id.items()
             if contact.is_reached(now)
         )
+
+
+def _is_overtaken(contact: Contact, reply: ServerReply) -> bool:
+    """Return whether a response was sent before the latest one of the same boot."""
+    known = (contact.accepted_version, contact.basis_ms)
+    return (reply.version, reply.now_ms) < known
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_contacts.py
@@ -0,0 +1,34 @@
+import unittest
+
+from damasktide.ownership.contacts import Contact, Contacts
+from damasktide.ownership.effects import ServerReply
+
+SERVER = "s1"
+
+
+def reply(now_ms: int, version: int, draining: int, accepted: bool = True) -> ServerReply:
+    return ServerReply(accepted, "boot-1", "boot-1/0", now_ms, version, draining)
+
+
+class ContactsTest(unittest.TestCase):
+    def contact_after(self, *replies: ServerReply) -> Contact:
+        contacts = Contacts()
+        contacts.watch(frozenset({SERVER}), 0.0)
+        for index, one in enumerate(replies):
+            contacts.record_reply(SERVER, one, index * 0.01)
+        contact = contacts.get(SERVER)
+        assert contact is not None
+        return contact
+
+    def test_overtaken_response_does_not_hide_draining_requests(self) -> None:
+        """Guards against a completed move while the old owner still drains the shard.
+
+        The refusal was sent before the server accepted version 6, and arrives after it.
+        """
+        contact = self.contact_after(reply(200, 6, 2), reply(100, 5, 0, accepted=False))
+        self.assertEqual((contact.accepted_version, contact.draining), (6, 2))
+
+    def test_refusal_shows_the_state_of_the_server(self) -> None:
+        """Guards against a move that waits although another renewer fenced the server."""
+        contact = self.contact_after(reply(100, 5, 2), reply(200, 6, 0, accepted=False))
+        self.assertEqual((contact.accepted_version, contact.draining), (6, 0))
