Make the drain and pause tests independent of timing

Ruled out: requests that were really cut (the counted request had not begun when the process ended, because a wait may time out in the turn in which its event is set); a fault of the pause (two runs had picked the same free port).

--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/__main__.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/__main__.py
@@ -11,14 +11,14 @@
 import gevent
 from gevent.event import Event
 
-from damasktide_standins.backend_server.execution import ServerSettings
+from damasktide_standins.backend_server.requests import ServerSettings
 from damasktide_standins.backend_server.server import BackendServer
 
 
 @click.command()
 @click.option("--server-id", required=True)
 @click.option("--service", required=True)
-@click.option("--port", type=int, required=True)
+@click.option("--port", type=int, required=True, help="0 picks a free port.")
 @click.option("--slots", default=6, show_default=True)
 @click.option("--connections", default=110, show_default=True)
 @click.option("--service-time-ms", default=5.0, show_default=True)
@@ -40,6 +40,7 @@
     )
     server = BackendServer(settings, port, execution_log)
     server.start()
+    click.echo(f"listening on port {server.port}")
     stopped = Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
     gevent.signal_handler(signal.SIGINT, stopped.set)
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/app.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/app.py
@@ -13,14 +13,14 @@
 from gevent.event import AsyncResult, Event
 
 from damasktide.runtime.clock import Clock
-from damasktide_standins.backend_server.execution import (
+from damasktide_standins.backend_server.grants import Grant
+from damasktide_standins.backend_server.requests import (
     Arrival,
     Ending,
     ServerSettings,
     Start,
     Verdict,
 )
-from damasktide_standins.backend_server.grants import Grant
 from damasktide_standins.backend_server.task import (
     ApplyGrant,
     Cancel,
@@ -128,9 +128,12 @@
         if finish.reset:
             _reset_connection()
         request_id = f"other-{start.run_id}" if finish.cross else arrival.request_id
-        headers = {"Idempotency-Key": request_id}
         if finish.ending is not Ending.COMPLETED:
-            return _json(500, {"error": finish.ending.value}, headers)
+            return _json(500, {"error": finish.ending.value}, {"Idempotency-Key": request_id})
+        response = self._answer(request_id, operation, key, body_length)
+        return _truncated(response) if finish.truncate else response
+
+    def _answer(self, request_id: str, operation: str, key: str, body_length: int) -> HTTPResponse:
         answer = {
             "server_id": self._settings.server_id,
             "request_id": request_id,
@@ -138,8 +141,7 @@
             "operation": operation,
             "body_length": body_length,
         }
-        response = _json(200, answer, headers)
-        return _truncated(response) if finish.truncate else response
+        return _json(200, answer, {"Idempotency-Key": request_id})
 
     def _enter(self, arrival: Arrival, cancelled: Event) -> Start:
         started = AsyncResult()
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/server.py
@@ -10,8 +10,9 @@
 
 from damasktide.runtime.clock import Clock, MonotonicClock
 from damasktide_standins.backend_server.app import SOCKET_KEY, build_app
-from damasktide_standins.backend_server.execution import Execution, ServerSettings
+from damasktide_standins.backend_server.execution import Execution
 from damasktide_standins.backend_server.grants import GrantLedger
+from damasktide_standins.backend_server.requests import ServerSettings
 from damasktide_standins.backend_server.task import ExecutionTask, new_boot_id
 
 CONNECT_TIME_S = 0.001
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/task.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/task.py
@@ -11,17 +11,16 @@
 
 from damasktide.runtime.clock import Clock
 from damasktide.runtime.task import Task, handles
-from damasktide_standins.backend_server.execution import (
+from damasktide_standins.backend_server.execution import Execution
+from damasktide_standins.backend_server.faults import FAULTS
+from damasktide_standins.backend_server.grants import Grant, GrantState
+from damasktide_standins.backend_server.requests import (
     Arrival,
-    Ending,
-    Execution,
     Finish,
     Load,
     Start,
     Verdict,
 )
-from damasktide_standins.backend_server.faults import FAULTS
-from damasktide_standins.backend_server.grants import Grant, GrantState
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,11 +186,10 @@
         self._log.flush()
 
     def _end(self, run: Leave, finish: Finish) -> float:
-        # A run that outlives its term is rolled back as of the end of the grant.
-        ended_at = self._execution.ledger.ended_at()
-        if finish.ending is not Ending.CUT or ended_at is None:
+        if finish.ended_at is None:
             return run.end
-        overrun_s = self._clock.now() - ended_at
+        # A run that outlives its term is rolled back as of the end of the term.
+        overrun_s = self._clock.now() - finish.ended_at
         return max(run.start, min(run.end, time.time() - overrun_s))
 
 
--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
@@ -8,7 +8,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from damasktide_standins.backend_server.execution import ServerSettings
+from damasktide_standins.backend_server.requests import ServerSettings
 from damasktide_standins.backend_server.server import BackendServer
 
 
--- a/packages/damasktide/src/damasktide/lifecycle/task.py
+++ b/packages/damasktide/src/damasktide/lifecycle/task.py
@@ -79,7 +79,9 @@
 
     def wait(self, timeout_s: float | None = None) -> int | None:
         """Wait until the instance has drained; return the exit code, or None if it has not."""
-        return self._exit_code if self._stopped.wait(timeout_s) else None
+        self._stopped.wait(timeout_s)
+        # The event may be set in the same turn of the event loop in which the wait times out.
+        return self._exit_code if self._stopped.is_set() else None
 
     @handles(MarkReady)
     def _mark_ready(self, message: MarkReady) -> None:
