--- a/packages/damasktide/src/damasktide/lifecycle/tests/test_failures.py
+++ b/packages/damasktide/src/damasktide/lifecycle/tests/test_failures.py
@@ -41,11 +41,11 @@
         self.requests.append(gevent.spawn(self._serve))
 
     def _serve(self) -> None:
+        self.results["begun"] += 1
         if not self.snapshot.value.accepts_requests:
             self.results["draining"] += 1
             return
         self.task.tell(RequestStarted())
-        self.results["accepted"] += 1
         gevent.sleep(REQUEST_S)
         self.task.tell(RequestFinished())
         self.results["answered"] += 1
@@ -53,13 +53,12 @@
     def drain(self) -> int | None:
         """Send a request every 20 ms until the process ends, and return the exit code."""
         self.task.tell(BeginDrain("test"))
-        exit_code = None
-        while exit_code is None:
+        while (exit_code := self.task.wait(0.02)) is None:
             self.send()
-            exit_code = self.task.wait(0.02)
-        # The last request may not have been accepted or refused yet; the process has ended.
-        gevent.killall([request for request in self.requests if not request.ready()])
-        self.results["cut"] = self.results["accepted"] - self.results["answered"]
+        gevent.killall(self.requests)
+        results = self.results
+        # A request that has not begun when the process ends finds no process and is not cut.
+        results["cut"] = results["begun"] - results["answered"] - results["draining"]
         self.task.stop()
         return exit_code
 
