Report keyed limits and let a task start without a share

Cause: the limits slice needs the slots for keyed work, and a new instance must not use slots before the first shares arrive. Ruled out: no share as the default, which would stop users of the task that are not wired to the limits slice yet. Change: keyed_limit in TargetStatus, initial_share for balancer and task, limits refreshed by the target's state; a target that moves gets its new level.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -40,6 +40,8 @@
         Byte budget of the link between regions.
     detector
         Ejects outliers.
+    initial_share
+        Share of each target until the limits slice has computed one.
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         policy: BalancingPolicy,
         link: LinkBudget,
         detector: OutlierDetector | None = None,
+        initial_share: SlotShare = WHOLE,
     ) -> None:
+        self._initial_share = initial_share
         self._locality = locality
         self._policy = policy
         self._link = link
@@ -79,7 +83,7 @@
         """Replace this instance's shares."""
         self._share_by_server = dict(shares.share_by_server)
         for server_id, state in self._state_by_server.items():
-            state.share = self._share_by_server.get(server_id, NOTHING)
+            state.share = self._share_of(server_id)
         self._link.set_rate(shares.link_bytes_per_s, now)
         self.refresh(now)
 
@@ -119,7 +123,7 @@
         """Take in a boot id; a new one starts the cold-start ramp."""
         state = self._state_by_server.get(server_id)
         if state is not None and state.ramp.on_boot(now, boot_id):
-            self._refresh_limit(now, state)
+            state.refresh_limit(now)
 
     def refresh(self, now: float) -> None:
         """Review ejections and let ramps grow; to be called a few times a second."""
@@ -127,7 +131,7 @@
         self._median_s = median_latency_s(states)
         self._detector.review(states, now, self._median_s)
         for state in states:
-            self._refresh_limit(now, state)
+            state.refresh_limit(now)
 
     def status(self, now: float) -> BalancerStatus:
         """Return a snapshot."""
@@ -135,6 +139,7 @@
             server_id: TargetStatus(
                 in_flight=state.in_flight,
                 limit=state.limit,
+                keyed_limit=state.keyed_limit,
                 latency_s=state.latency_s(now, self._median_s),
                 ejected=state.ejected_until is not None,
                 ramping=state.ramp.is_active(now),
@@ -148,17 +153,20 @@
         state = known.get(target.server_id)
         if state is not None:
             state.target = target
+            state.level = self._locality.level_of(target)
             return state
         state = TargetState(target, self._locality.level_of(target))
-        if self._share_by_server is not None:
-            state.share = self._share_by_server.get(target.server_id, NOTHING)
-        else:
-            state.share = WHOLE
+        state.share = self._share_of(target.server_id)
         if self._knows_targets:
             # A target that appears after the first list has probably just booted.
             state.ramp.start(now)
         return state
 
+    def _share_of(self, server_id: str) -> SlotShare:
+        if self._share_by_server is None:
+            return self._initial_share
+        return self._share_by_server.get(server_id, NOTHING)
+
     def _choose(self, now: float, request: Pick) -> TargetState | NoPickReason:
         reason = NoPickReason.NO_FREE_SLOT if self._state_by_server else NoPickReason.NO_TARGETS
         for level, states in zip(LEVELS, self._states_by_level, strict=True):
@@ -223,13 +231,7 @@
         if done.outcome is CallOutcome.OK:
             state.consecutive_failures = 0
         if state.ramp.on_latency(now, latency_s, median_s):
-            self._refresh_limit(now, state)
-
-    @staticmethod
-    def _refresh_limit(now: float, state: TargetState) -> None:
-        state.keyed_limit = state.slot_limit(now)
-        ejected = state.ejected_until is not None
-        state.limit = 0 if ejected else state.keyed_limit
+            state.refresh_limit(now)
 
 
 def _with_free_slot(states: Sequence[TargetState], request: Pick) -> list[TargetState]:
--- a/packages/damasktide/src/damasktide/balancing/messages.py
+++ b/packages/damasktide/src/damasktide/balancing/messages.py
@@ -162,6 +162,8 @@
     ----------
     in_flight, limit
         Calls of this instance and how many it may have.
+    keyed_limit
+        How many it may have for keyed work, which ignores ejection.
     latency_s
         Decayed latency in seconds.
     ejected, ramping, slow
@@ -170,6 +172,7 @@
 
     in_flight: int
     limit: int
+    keyed_limit: int
     latency_s: float
     ejected: bool
     ramping: bool
--- a/packages/damasktide/src/damasktide/balancing/state.py
+++ b/packages/damasktide/src/damasktide/balancing/state.py
@@ -85,11 +85,13 @@
         """Decayed latency at the last sample in seconds, or None without any."""
         return None if self._latency_at is None else self._latency_s
 
-    def slot_limit(self, now: float) -> int:
-        """Return this instance's share of the slots that the ramp allows at ``now``."""
+    def refresh_limit(self, now: float) -> None:
+        """Set the limits from share, ramp, ejection and whether the target is leaving."""
         if self.target.leaving:
-            return 0
-        return self.share.of(self.ramp.limit(now, self.target.slots))
+            self.keyed_limit = 0
+        else:
+            self.keyed_limit = self.share.of(self.ramp.limit(now, self.target.slots))
+        self.limit = 0 if self.ejected_until is not None else self.keyed_limit
 
     def add_latency(self, now: float, latency_s: float) -> None:
         """Take in a measured latency, weighted by the time since the one before."""
--- a/packages/damasktide/src/damasktide/balancing/task.py
+++ b/packages/damasktide/src/damasktide/balancing/task.py
@@ -18,6 +18,7 @@
     TargetsChanged,
 )
 from damasktide.balancing.policies import balancing_policies
+from damasktide.limits.slot_share import WHOLE, SlotShare
 from damasktide.runtime.clock import Clock, MonotonicClock
 from damasktide.runtime.task import Task, TaskFailed, every, handles
 
@@ -41,6 +42,9 @@
         Source of randomness.
     clock
         Source of time.
+    initial_share
+        Share of each target until the first :class:`SharesChanged`; ``NOTHING`` keeps a new
+        instance from using slots that the others have not given up yet.
     on_status
         Called with a snapshot at every refresh; it must not block.
     on_failure
@@ -55,6 +59,7 @@
         link_bytes_per_s: float,
         rng: Random | None = None,
         clock: Clock | None = None,
+        initial_share: SlotShare = WHOLE,
         on_status: Callable[[BalancerStatus], None] | None = None,
         on_failure: Callable[[TaskFailed], None] | None = None,
     ) -> None:
@@ -63,7 +68,7 @@
         self._on_status = on_status
         link = LinkBudget(link_bytes_per_s, self._clock.now())
         chooser = balancing_policies.get(policy)(rng or Random())
-        self._balancer = Balancer(locality, chooser, link)
+        self._balancer = Balancer(locality, chooser, link, initial_share=initial_share)
 
     @every(REFRESH_S)
     def _refresh(self) -> None:
