Take the retry counters from the failure kinds

Cause: the retry reasons were listed twice; an address that does not resolve ended the telemetry task and so drained the instance. Ruled out: a check of the address at the start, because a statsd that is absent must disturb nothing. Change: one counter for each FailureKind; the socket is opened at the first flush and a failure is logged and tried again; the timer that no code sends is gone. Conclusion: formatter, linter, type check and tests pass.

--- a/packages/damasktide/src/damasktide/telemetry/metrics.py
+++ b/packages/damasktide/src/damasktide/telemetry/metrics.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from damasktide.admission.refusals import RefusalCode
+from damasktide.forwarding.failures import FailureKind
 from damasktide.runtime.registry import Registry
 
 PREFIX = "damasktide"
@@ -39,20 +40,9 @@
 REQUESTS_RECEIVED = "request.received"
 REQUESTS_ANSWERED = "request.answered"
 REQUEST_DURATION = "request.duration"
-UPSTREAM_DURATION = "upstream.duration"
 TASKS_FAILED = "task.failed"
 UNDECLARED = "telemetry.undeclared"
 LOG_LINES_DROPPED = "telemetry.log_lines_dropped"
-RETRY_REASONS = (
-    "not_connected",
-    "not_owner",
-    "shed",
-    "timed_out",
-    "reset",
-    "incomplete",
-    "wrong_answer",
-)
-
 MetricFamily = Callable[[], Iterator[Metric]]
 FAMILIES: Registry[str, MetricFamily] = Registry("metric family")
 
@@ -78,7 +68,6 @@
     yield Metric(
         REQUEST_DURATION, MetricKind.TIMER, "Time from the request to the response, refusals too."
     )
-    yield Metric(UPSTREAM_DURATION, MetricKind.TIMER, "Time of one call to a backend server.")
 
 
 @FAMILIES.register("Refusals")
@@ -91,9 +80,9 @@
 
 @FAMILIES.register("Retries")
 def _retries() -> Iterator[Metric]:
-    for reason in RETRY_REASONS:
-        description = f"Calls sent again after `{reason}`."
-        yield Metric(retry_metric(reason), MetricKind.COUNTER, description)
+    for kind in FailureKind:
+        description = f"Calls sent again after `{kind.value}`."
+        yield Metric(retry_metric(kind.value), MetricKind.COUNTER, description)
 
 
 @FAMILIES.register("Process")
--- a/packages/damasktide/src/damasktide/telemetry/task.py
+++ b/packages/damasktide/src/damasktide/telemetry/task.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from loguru import logger
 from statsd import StatsClient
 
 from damasktide.runtime.task import Task, TaskFailed, every, handles
@@ -50,11 +51,6 @@
         self._aggregate = Aggregate(metric_by_name(), Random())
         self._client: StatsClient | None = None
 
-    def on_start(self) -> None:
-        """Open the socket."""
-        host, port = self._address
-        self._client = StatsClient(host, port, prefix=PREFIX, maxudpsize=MAX_DATAGRAM_BYTES)
-
     def on_stop(self) -> None:
         """Send what is left and close the socket."""
         self._flush()
@@ -71,13 +67,26 @@
 
     @every(FLUSH_PERIOD_S)
     def _flush(self) -> None:
-        if self._client is None:
-            return
         flush = self._aggregate.flush()
+        client = self._open()
+        if client is None:
+            return
         # The client drops what it cannot send, so an absent statsd disturbs nothing.
-        with self._client.pipeline() as pipeline:
+        with client.pipeline() as pipeline:
             for name, amount in flush.amount_by_name.items():
                 pipeline.incr(name, amount)
             for name, samples in flush.samples_by_name.items():
                 for sample in samples:
                     pipeline.timing(name, sample)
+
+    def _open(self) -> StatsClient | None:
+        """Return the client, or None while its address cannot be used."""
+        if self._client is None:
+            host, port = self._address
+            try:
+                self._client = StatsClient(
+                    host, port, prefix=PREFIX, maxudpsize=MAX_DATAGRAM_BYTES
+                )
+            except OSError as error:
+                logger.warning("statsd at {}:{} cannot be used: {}", host, port, error)
+        return self._client
--- a/packages/damasktide/src/damasktide/telemetry/tests/test_metrics.py
+++ b/packages/damasktide/src/damasktide/telemetry/tests/test_metrics.py
@@ -3,11 +3,11 @@
 from random import Random
 
 from damasktide.admission.refusals import RefusalCode
+from damasktide.forwarding.failures import FailureKind
 from damasktide.telemetry.aggregate import MAX_SAMPLES_PER_FLUSH, Aggregate
 from damasktide.telemetry.metrics import (
     REQUEST_DURATION,
     REQUESTS_RECEIVED,
-    RETRY_REASONS,
     UNDECLARED,
     metric_by_name,
     refusal_metric,
@@ -22,7 +22,7 @@
     def test_every_refusal_and_retry_reason_has_a_counter(self) -> None:
         """Guards against refusals that operators cannot see."""
         names = {refusal_metric(code) for code in RefusalCode}
-        names |= {retry_metric(reason) for reason in RETRY_REASONS}
+        names |= {retry_metric(kind.value) for kind in FailureKind}
         self.assertLessEqual(names, metric_by_name().keys())
 
     def test_page_is_up_to_date(self) -> None:
--- a/packages/damasktide/src/damasktide/telemetry/tests/test_task.py
+++ b/packages/damasktide/src/damasktide/telemetry/tests/test_task.py
@@ -24,10 +24,11 @@
     def test_absent_statsd_disturbs_nothing(self) -> None:
         """Guards against a process that drains because statsd is down."""
         failures: list[object] = []
-        task = TelemetryTask("127.0.0.1", 9, on_failure=failures.append)
-        task.start()
-        task.tell(Count(REQUESTS_RECEIVED))
-        task.stop()
+        for host in ("127.0.0.1", "not an address"):
+            task = TelemetryTask(host, 9, on_failure=failures.append)
+            task.start()
+            task.tell(Count(REQUESTS_RECEIVED))
+            task.stop()
         self.assertEqual(failures, [])
 
 
