Split table news, rights and proposals from the ownership decisions

Ruled out: splitting off the state of the service, which the events share. Change: Authority holds table news and rights; Proposals orders the changes of the map. Behaviour is the same.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/authority.py
@@ -0,0 +1,79 @@
+"""What lets this instance renew grants: its table news and the confirmations of its peers."""
+
+from collections.abc import Iterator
+
+from damasktide.ownership.constants import NEWS_STALE_AFTER_S
+from damasktide.ownership.rights import NEVER, Confirmation, RightTracker
+from damasktide.ownership.shard_map import ConfirmerSet
+
+
+class Authority:
+    """Table news of the adopted version and the rights that follow from it.
+
+    Parameters
+    ----------
+    instance_id
+        Id of this instance.
+    policy
+        Isolation policy of the service.
+    """
+
+    def __init__(self, instance_id: str, policy: str) -> None:
+        self._instance_id = instance_id
+        self._policy = policy
+        self._version = 0
+        self._table_news_at = NEVER
+        self._right_by_domain: dict[str, RightTracker] = {}
+
+    @property
+    def table_news_at(self) -> float:
+        """Monotonic time from which the last table news of the adopted version counts."""
+        return self._table_news_at
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether the table news is too old for changes of the map."""
+        return now - self._table_news_at > NEWS_STALE_AFTER_S
+
+    def adopt(self, version: int) -> None:
+        """Start over for a newer map version."""
+        self._version = version
+        self._table_news_at = NEVER
+        for right in self._right_by_domain.values():
+            right.adopt(version)
+
+    def record_news(self, version: int, asked_at: float) -> None:
+        """Record that the table showed ``version`` to a request sent at ``asked_at``."""
+        if version != self._version:
+            return
+        self._table_news_at = max(self._table_news_at, asked_at)
+        for right in self._right_by_domain.values():
+            right.record_table_news(version, asked_at)
+
+    def record_confirmation(self, instance_id: str, version: int, asked_at: float) -> None:
+        """Record that an instance has adopted ``version`` and nothing newer."""
+        confirmation = Confirmation(instance_id, version, asked_at)
+        for right in self._right_by_domain.values():
+            right.record_confirmation(confirmation)
+
+    def confirm_to_self(self, now: float) -> None:
+        """Count this instance among the confirmers that were asked now."""
+        self.record_confirmation(self._instance_id, self._version, now)
+
+    def valid_until(self, domain: str, confirmers: ConfirmerSet) -> float:
+        """Return the monotonic time at which the right for ``domain`` ends."""
+        return self._right(domain).valid_until(confirmers)
+
+    def confirmers_to_ask(self, confirmers: ConfirmerSet) -> Iterator[str]:
+        """Yield the confirmers of the failure domains whose servers this instance renews."""
+        for domain in self._right_by_domain:
+            yield from confirmers.own_ids(domain)
+            yield from confirmers.witness_ids(domain)
+
+    def _right(self, domain: str) -> RightTracker:
+        right = self._right_by_domain.get(domain)
+        if right is None:
+            right = RightTracker(domain, self._policy)
+            right.adopt(self._version)
+            right.record_table_news(self._version, self._table_news_at)
+            self._right_by_domain[domain] = right
+        return right
--- a/packages/damasktide/src/damasktide/ownership/service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/service_ownership.py
@@ -7,11 +7,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
-from damasktide.ownership.constants import (
-    HOLD_LIMIT_S,
-    NEWS_STALE_AFTER_S,
-    SUSPECT_AFTER_S,
-)
+from damasktide.ownership.authority import Authority
+from damasktide.ownership.constants import HOLD_LIMIT_S, SUSPECT_AFTER_S
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.effects import (
     AskAdopt,
@@ -26,7 +23,8 @@
 )
 from damasktide.ownership.moves import MoveProgress
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.rights import NEVER, Confirmation, RightTracker
+from damasktide.ownership.proposals import Proposals, View
+from damasktide.ownership.rights import NEVER
 from damasktide.ownership.roles import Roles
 from damasktide.ownership.shard_map import OwnerServer, ShardMap
 from damasktide.ownership.shards import ShardSpace
@@ -76,12 +74,11 @@
         self._settings = settings
         self._map: ShardMap | None = None
         self._surroundings = Surroundings()
-        self._right_by_domain: dict[str, RightTracker] = {}
+        self._authority = Authority(settings.instance_id, settings.policy)
         self._contacts = Contacts()
         self._moves = MoveProgress(settings.policy, settings.max_deadline_s)
         self._placement = Placement(settings.space, settings.domain, settings.region_by_domain)
-        self._table_news_at = NEVER
-        self._row_seen_at = NEVER
+        self._proposals = Proposals(self._placement, self._moves, self._contacts)
         self._is_row_absent = False
         self._is_write_open = False
         self._last_tick_at = NEVER
@@ -95,7 +92,7 @@
         """Return the monotonic time at which the right for ``domain`` ends."""
         if self._map is None:
             return NEVER
-        return self._right(domain).valid_until(self._map.confirmers)
+        return self._authority.valid_until(domain, self._map.confirmers)
 
     def update_surroundings(self, surroundings: Surroundings) -> None:
         """Take over what other tasks have published."""
@@ -109,11 +106,10 @@
 
     def on_table_read(self, shard_map: ShardMap | None, asked_at: float, now: float) -> None:
         """Take a read of the map row that was sent at ``asked_at``; None means no row."""
-        self._row_seen_at = now
         self._is_row_absent = shard_map is None
         if shard_map is not None:
             self._adopt(shard_map, now)
-            self._record_news(shard_map.version, asked_at)
+            self._authority.record_news(shard_map.version, asked_at)
 
     def on_write_result(self, written: ShardMap | None, now: float) -> None:
         """Take the result of a write; None means a conflict or an error."""
@@ -133,7 +129,7 @@
     def on_confirm_request(self, now: float) -> ConfirmReply:
         """Answer what this instance has adopted."""
         version = self._map.version if self._map is not None else 0
-        age = now - self._table_news_at
+        age = now - self._authority.table_news_at
         return ConfirmReply(
             instance_id=self._settings.instance_id,
             version=version,
@@ -148,10 +144,8 @@
         if self._map is None or reply.version != self._map.version:
             return
         if reply.news_age_s is not None:
-            self._record_news(reply.version, asked_at - reply.news_age_s)
-        confirmation = Confirmation(reply.instance_id, reply.version, asked_at)
-        for right in self._right_by_domain.values():
-            right.record_confirmation(confirmation)
+            self._authority.record_news(reply.version, asked_at - reply.news_age_s)
+        self._authority.record_confirmation(reply.instance_id, reply.version, asked_at)
 
     def on_server_reply(self, server_id: str, reply: ServerReply, now: float) -> None:
         """Take a backend server's response to a query or a grant."""
@@ -184,19 +178,16 @@
 
     def _news_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
         readers = roles.readers()
-        is_stale = now - self._table_news_at > NEWS_STALE_AFTER_S
+        is_stale = self._authority.is_stale(now)
         if self._settings.instance_id in readers or is_stale:
             yield ReadMap()
         asked = set(readers)
         if is_stale and self._map is not None:
-            confirmers = self._map.confirmers
-            for domain in self._right_by_domain:
-                asked |= confirmers.own_ids(domain) | confirmers.witness_ids(domain)
+            self._authority.confirm_to_self(now)
+            asked.update(self._authority.confirmers_to_ask(self._map.confirmers))
         asked |= self._backup_renewers(roles, now)
         for instance_id in sorted(asked - {self._settings.instance_id}):
             yield AskConfirm(instance_id)
-        if is_stale:
-            self._confirm_to_self(now)
 
     def _backup_renewers(self, roles: Roles, now: float) -> set[str]:
         """Return peers that may still reach a server that this instance has lost sight of."""
@@ -211,39 +202,13 @@
         contact = self._contacts.get(server_id)
         return contact is not None and now - contact.reached_at < SUSPECT_AFTER_S / 2
 
-    def _confirm_to_self(self, now: float) -> None:
-        if self._map is None:
-            return
-        confirmation = Confirmation(self._settings.instance_id, self._map.version, now)
-        for right in self._right_by_domain.values():
-            right.record_confirmation(confirmation)
-
-    def _record_news(self, version: int, asked_at: float) -> None:
-        if self._map is None or version != self._map.version:
-            return
-        self._table_news_at = max(self._table_news_at, asked_at)
-        for right in self._right_by_domain.values():
-            right.record_table_news(version, asked_at)
-
     def _adopt(self, shard_map: ShardMap, now: float) -> None:
         if self._map is not None and shard_map.version <= self._map.version:
             return
         self._map = shard_map
-        self._table_news_at = NEVER
-        for right in self._right_by_domain.values():
-            right.adopt(shard_map.version)
+        self._authority.adopt(shard_map.version)
         self._moves.on_new_map(shard_map, self._settings.instance_id, now)
 
-    def _right(self, domain: str) -> RightTracker:
-        right = self._right_by_domain.get(domain)
-        if right is None:
-            right = RightTracker(domain, self._settings.policy)
-            if self._map is not None:
-                right.adopt(self._map.version)
-                right.record_table_news(self._map.version, self._table_news_at)
-            self._right_by_domain[domain] = right
-        return right
-
     # Grants -----------------------------------------------------------------------------
 
     def _renewed_servers(self, roles: Roles) -> Iterator[tuple[OwnerServer, list[str]]]:
@@ -270,7 +235,7 @@
             contact = self._contacts.get(server.server_id)
             if contact is None or not contact.term:
                 yield QueryServer(server)
-            elif self._right(server.domain).valid_until(self._map.confirmers) > now:
+            elif self.right_valid_until(server.domain) > now:
                 yield SendGrant(
                     server=server,
                     version=self._map.version,
@@ -313,32 +278,11 @@
     def _write_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
         """Propose at most one change of the map; only with fresh table news."""
         assert self._map is not None
-        if self._is_write_open or now - self._table_news_at > NEWS_STALE_AFTER_S:
+        if self._is_write_open or self._authority.is_stale(now):
             return
-        proposed = self._proposal(roles, now)
+        controlled = self._controlled_ids(roles)
+        view = View(self._map, roles, controlled, self._surroundings, now)
+        proposed = self._proposals.next_map(view)
         if proposed is not None:
             self._is_write_open = True
             yield WriteMap(proposed, based_on=self._map.version)
-
-    def _proposal(self, roles: Roles, now: float) -> ShardMap | None:
-        assert self._map is not None
-        controlled = self._controlled_ids(roles)
-        completed = self._moves.completed(self._map, controlled, self._contacts, now)
-        if completed is not None:
-            return completed
-        lost = self._placement.lost_server_moves(
-            self._map, controlled, self._contacts, self._surroundings, now
-        )
-        if lost is not None:
-            return lost
-        if roles.is_confirmer_manager():
-            changed = self._placement.changed_confirmers(self._map, self._surroundings, now)
-            if changed is not None:
-                return changed
-            if self._moves.is_settled(self._map, now):
-                return self._moves.settled(self._map)
-        if roles.is_placer():
-            return self._placement.planned_moves(
-                self._map, self._contacts, self._surroundings, now
-            )
-        return None
