Rest the first grant after a boot on newer table news

Cause: the version fence of a server is lost when it restarts. After a move that was completed by the fence, a renewer whose quorum did not know the newer version could grant the old version, with the moved shard, to the restarted server while the new owner held its own grant. Ruled out: waiting max(c, b) + R before each move completes, because a planned move would then interrupt its shards for 0.6 s more. Change: a server that reports version 0 is granted only on table news that was requested after its boot was seen. During an outage of the table a restarted server is not served, like a lost one. Conclusion: test_restarted_server_needs_table_news fails without the change.

--- a/packages/damasktide/src/damasktide/ownership/contacts.py
+++ b/packages/damasktide/src/damasktide/ownership/contacts.py
@@ -22,6 +22,8 @@
         Start of the present run of responses without a gap.
     boot_id, term, basis_ms
         From the latest response; empty before the first.
+    boot_seen_at
+        Time of the first response with this ``boot_id``.
     accepted_version
         Highest map version of the grants that the server has accepted since its boot.
     draining
@@ -32,6 +34,7 @@
     reached_at: float = NEVER
     reached_since: float = NEVER
     boot_id: str = ""
+    boot_seen_at: float = NEVER
     term: str = ""
     basis_ms: int = 0
     accepted_version: int = 0
@@ -41,6 +44,15 @@
         """Return whether the server has not been reached for the suspicion time."""
         return now - max(self.watched_since, self.reached_at) > SUSPECT_AFTER_S
 
+    def may_be_granted(self, table_news_at: float) -> bool:
+        """Return whether a right suffices for a grant, given the time of the table news.
+
+        A restart erases the version fence of a server, and a quorum of confirmers need not
+        know the version that fenced it. The first grant after a boot therefore rests on table
+        news that was requested after the boot.
+        """
+        return self.accepted_version > 0 or table_news_at >= self.boot_seen_at
+
     def is_reached(self, now: float) -> bool:
         """Return whether there was a response within the suspicion time."""
         return now - self.reached_at <= SUSPECT_AFTER_S
@@ -84,6 +96,7 @@
         self._contact_by_id[server_id] = replace(
             reached,
             boot_id=reply.boot_id,
+            boot_seen_at=now if reply.boot_id != contact.boot_id else contact.boot_seen_at,
             term=reply.term,
             basis_ms=reply.now_ms,
             accepted_version=reply.version,
--- a/packages/damasktide/src/damasktide/ownership/service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/service_ownership.py
@@ -9,7 +9,7 @@
 
 from damasktide.ownership.authority import Authority
 from damasktide.ownership.constants import HOLD_LIMIT_S, SUSPECT_AFTER_S
-from damasktide.ownership.contacts import Contacts
+from damasktide.ownership.contacts import Contact, Contacts
 from damasktide.ownership.effects import (
     AskAdopt,
     AskConfirm,
@@ -233,18 +233,21 @@
         shards_by_server = self._map.granted_shards_by_server()
         for server in servers:
             contact = self._contacts.get(server.server_id)
-            if contact is None or not contact.term:
-                yield QueryServer(server)
-            elif self.right_valid_until(server.domain) > now:
-                yield SendGrant(
-                    server=server,
-                    version=self._map.version,
-                    shards=shards_by_server.get(server.server_id, ()),
-                    term=contact.term,
-                    basis_ms=contact.basis_ms,
-                )
-            else:
+            if contact is None or not contact.term or not self._may_grant(server, contact, now):
                 yield QueryServer(server)
+                continue
+            yield SendGrant(
+                server=server,
+                version=self._map.version,
+                shards=shards_by_server.get(server.server_id, ()),
+                term=contact.term,
+                basis_ms=contact.basis_ms,
+            )
+
+    def _may_grant(self, server: OwnerServer, contact: Contact, now: float) -> bool:
+        return self.right_valid_until(server.domain) > now and contact.may_be_granted(
+            self._authority.table_news_at
+        )
 
     # Moves ------------------------------------------------------------------------------
 
