Run faults of real processes under load

Cause: nothing showed the promises with real kills, freezes, an outage of the store and damaged responses. Ruled out: checks from the instances' own state; the observer reads only the servers' execution logs and the callers' records. Change: scenarios in a registry, callers that follow the attempt rule, an observer; TCP_NODELAY on the front end; requests go to settled instances; responses without the request id are refused.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of real processes under load, checked by an independent observer."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/observer.py
@@ -0,0 +1,52 @@
+"""Checks a run from the execution logs of the backend servers and the callers' records."""
+
+from collections.abc import Iterator, Mapping
+from itertools import pairwise
+from typing import Any
+
+from damasktide.ownership.shards import ShardSpace
+from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.ownership_world.history import (
+    Attempt,
+    Execution,
+    History,
+    faults_of,
+)
+from damasktide_standins.process_faults.load import Record
+
+
+def history_of(cluster: LocalCluster, record: Record) -> History:
+    """Return what the servers executed and what the callers received."""
+    return History(list(_executions(cluster)), list(record.received))
+
+
+def faults(cluster: LocalCluster, record: Record) -> list[str]:
+    """Return a line for each thing that must never happen and did."""
+    return faults_of(history_of(cluster, record))
+
+
+def longest_gap_s(record: Record, key: str, start: float, end: float) -> float:
+    """Return the longest time between two responses for ``key`` in [``start``, ``end``]."""
+    moments = [served.at for served in record.served if served.key == key]
+    inside = [start, *(at for at in sorted(moments) if start <= at <= end), end]
+    return max(later - earlier for earlier, later in pairwise(inside))
+
+
+def _executions(cluster: LocalCluster) -> Iterator[Execution]:
+    layout = cluster.layout
+    space = ShardSpace(
+        layout.services[0].shards, tuple(sorted(set(layout.region_by_domain.values())))
+    )
+    for line in cluster.executions():
+        if line["key"] and _has_effect(line):
+            yield Execution(
+                server=str(line["server_id"]),
+                shard=space.shard_of(str(line["key"])),
+                start=float(str(line["start"])),
+                end=float(str(line["end"])),
+                attempt=Attempt(str(line["request_id"]), 1),
+            )
+
+
+def _has_effect(line: Mapping[str, Any]) -> bool:
+    return bool(line["ending"] == "completed")
--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -33,6 +33,7 @@
 from damasktide.forwarding.upstream import Upstream
 from damasktide.frontend.app import AppHandlers, build_app
 from damasktide.frontend.parsing import RequestBounds
+from damasktide.frontend.server import build_server
 from damasktide.idempotency.gatekeeper import GatekeeperTask
 from damasktide.idempotency.memory import RequestMemory
 from damasktide.lifecycle.state import Lifecycle, LifecycleSnapshot, Phase
@@ -58,7 +59,7 @@
 from damasktide.settings.model import Settings
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.store_task import StoreTask
-from damasktide.telemetry.metrics import retry_metric
+from damasktide.telemetry.metrics import TASKS_FAILED, retry_metric
 from damasktide.telemetry.task import Count, TelemetryTask
 
 READY_POLL_S = 0.05
@@ -244,8 +245,8 @@
             on_refused=self._gate.count_refusal,
         )
         bounds = RequestBounds(settings.max_body_bytes, settings.max_header_bytes)
-        address = (settings.listen.host, settings.listen.port)
-        return WSGIServer(address, build_app(handlers, bounds), log=None)
+        app = build_app(handlers, bounds)
+        return build_server(settings.listen.host, settings.listen.port, app)
 
     def _instance_by_id(self) -> dict[str, Instance]:
         topology = self._topology.value
@@ -270,6 +271,8 @@
     def _on_phase(self, snapshot: LifecycleSnapshot) -> None:
         if snapshot.phase is Phase.LEAVING:
             self._membership.tell(Leave())
+            if snapshot.failed_task:
+                self._record(Count(TASKS_FAILED))
 
     def _on_topology(self, topology: Topology) -> None:
         self._topology.publish(topology)
--- a/packages/damasktide/src/damasktide/assembly/shares.py
+++ b/packages/damasktide/src/damasktide/assembly/shares.py
@@ -1,5 +1,6 @@
 """Hands the shares of this instance to the tasks that use them."""
 
+import time
 from collections.abc import Mapping
 from dataclasses import replace
 from typing import Any
@@ -46,7 +47,17 @@
         """Take over live instances and targets."""
         target_by_id = {target.server_id: target for target in topology.targets}
         alive = topology.alive_instances()
-        self._view.publish(replace(self._view.value, alive=alive, target_by_id=target_by_id))
+        now = time.monotonic()
+        known = self._view.value.seen_at_by_id
+        seen_at_by_id = {item.instance_id: known.get(item.instance_id, now) for item in alive}
+        self._view.publish(
+            replace(
+                self._view.value,
+                alive=alive,
+                seen_at_by_id=seen_at_by_id,
+                target_by_id=target_by_id,
+            )
+        )
         assert self.limiter is not None
         members = tuple(
             Member(instance, topology.seen.state_by_id[instance_id])
--- a/packages/damasktide/src/damasktide/forwarding/execution.py
+++ b/packages/damasktide/src/damasktide/forwarding/execution.py
@@ -11,6 +11,9 @@
 from damasktide.membership.instances import Instance
 from damasktide.ownership.shard_map import OwnerServer
 
+# Longer than the time after which a new instance gets its shares.
+SETTLE_S = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutionView:
@@ -22,6 +25,8 @@
         This instance.
     alive
         Instances believed to be alive, this one included.
+    seen_at_by_id
+        Monotonic time in seconds at which each of them was first seen alive.
     target_by_id
         Listed backend servers.
     share_by_server
@@ -30,9 +35,24 @@
 
     own: Instance
     alive: Sequence[Instance] = ()
+    seen_at_by_id: Mapping[str, float] = field(default_factory=dict)
     target_by_id: Mapping[str, Target] = field(default_factory=dict)
     share_by_server: Mapping[str, SlotShare] = field(default_factory=dict)
 
+    def executors_in(self, domain: str, now: float) -> list[Instance]:
+        """Return the instances of a failure domain that may run requests.
+
+        An instance that has just joined has no share of any target yet, so it is left out
+        while there are others.
+        """
+        alive = [instance for instance in self.alive if instance.domain == domain]
+        settled = [
+            instance
+            for instance in alive
+            if now - self.seen_at_by_id.get(instance.instance_id, now) >= SETTLE_S
+        ]
+        return settled or alive
+
     def has_share(self) -> bool:
         """Return whether this instance has a slot of any backend server."""
         return any(
@@ -48,6 +68,7 @@
     owner: OwnerServer,
     shard: int,
     grants_checked: bool,
+    now: float,
 ) -> str:
     """Return the id of the instance that sends a keyed request to its owner.
 
@@ -61,7 +82,7 @@
     )
     if admitted.is_idempotent and grants_checked and has_slot:
         return view.own.instance_id
-    candidates = [instance for instance in view.alive if instance.domain == owner.domain]
+    candidates = view.executors_in(owner.domain, now)
     if target is not None:
         candidates = holders(candidates, target)[: target.slots]
     ids = [instance.instance_id for instance in candidates]
@@ -69,11 +90,11 @@
     return chosen if chosen is not None else view.own.instance_id
 
 
-def executor_of_unkeyed(view: ExecutionView, admitted: AdmittedRequest) -> str:
+def executor_of_unkeyed(view: ExecutionView, admitted: AdmittedRequest, now: float) -> str:
     """Return the id of the instance that sends an unkeyed request to a target."""
     if admitted.is_idempotent:
         return view.own.instance_id
-    ids = [instance.instance_id for instance in view.alive if instance.domain == view.own.domain]
+    ids = [instance.instance_id for instance in view.executors_in(view.own.domain, now)]
     request = admitted.request
     chosen = gatekeeper_of_request(ids, request.service, request.request_id)
     return chosen if chosen is not None else view.own.instance_id
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -96,7 +96,7 @@
     def _choose_executor(self, admitted: AdmittedRequest) -> str | Refusal:
         view = self._parts.view.value
         if not admitted.is_keyed:
-            return executor_of_unkeyed(view, admitted)
+            return executor_of_unkeyed(view, admitted, time.monotonic())
         route = self._parts.route_by_service[admitted.request.service]
         wait_until = min(admitted.request.deadline, time.monotonic() + OWNER_WAIT_S)
         found = owner_of_request(route, admitted)
@@ -108,7 +108,9 @@
         if isinstance(found, Refusal):
             return found
         grants_checked = self._parts.service_by_name[route.service].grants_checked
-        return executor_of_keyed(view, admitted, found.owner, found.shard, grants_checked)
+        return executor_of_keyed(
+            view, admitted, found.owner, found.shard, grants_checked, time.monotonic()
+        )
 
     def _run_at_peer(self, admitted: AdmittedRequest, instance_id: str) -> Answer | Refusal:
         peer = self._peer(instance_id)
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -128,8 +128,7 @@
             is_owner_refusal = response.status == _NOT_OWNER_STATUS
             kind = FailureKind.NOT_OWNER if is_owner_refusal else FailureKind.SHED
             return UpstreamFailure(kind, server_id)
-        echoed_id = response.headers.get(REQUEST_ID_HEADER, request.request_id)
-        if echoed_id != request.request_id:
+        if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
             return UpstreamFailure(FailureKind.WRONG_ANSWER, server_id)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return Answer(response.status, content_type, body, server_id, {})
