Let a task wake at a time that its messages change

Cause: the ownership task acts only at fixed ticks, which adds up to 0.15 s to each step of a move. Ruled out: shorter ticks, which would multiply the renewals. Change: next_wake_at and on_wake in Task, asked for after each message. Conclusion: a handler can bring a deadline forward.

--- a/packages/damasktide/src/damasktide/runtime/task.py
+++ b/packages/damasktide/src/damasktide/runtime/task.py
@@ -130,6 +130,16 @@
     def on_stop(self) -> None:
         """Close sockets; runs in the task's greenlet after the last message."""
 
+    def next_wake_at(self) -> float | None:
+        """Return the monotonic time at which :meth:`on_wake` is due, or None.
+
+        It is asked for after each message, so a handler can bring the time forward.
+        """
+        return None
+
+    def on_wake(self) -> None:
+        """Do what is due; runs in the task's greenlet."""
+
     def _run(self) -> None:
         try:
             self.on_start()
@@ -149,8 +159,11 @@
 
     def _step(self) -> bool:
         self._run_due_periods()
+        wake_at = self.next_wake_at()
+        if wake_at is not None and wake_at <= time.monotonic():
+            self.on_wake()
         try:
-            envelope = self._inbox.get(timeout=self._seconds_to_next_period())
+            envelope = self._inbox.get(timeout=self._seconds_to_next_due())
         except Empty:
             return True
         if isinstance(envelope.message, Stop):
@@ -166,10 +179,12 @@
                 self._due_by_method[method] = now + self._period_by_method[method]
                 getattr(self, method)()
 
-    def _seconds_to_next_period(self) -> float | None:
-        if not self._due_by_method:
-            return None
-        return max(0.0, min(self._due_by_method.values()) - time.monotonic())
+    def _seconds_to_next_due(self) -> float | None:
+        due = list(self._due_by_method.values())
+        wake_at = self.next_wake_at()
+        if wake_at is not None:
+            due.append(wake_at)
+        return max(0.0, min(due) - time.monotonic()) if due else None
 
     def _dispatch(self, envelope: _Envelope) -> None:
         method = self._handler_by_type.get(type(envelope.message))
--- a/packages/damasktide/src/damasktide/runtime/tests/test_task.py
+++ b/packages/damasktide/src/damasktide/runtime/tests/test_task.py
@@ -1,3 +1,4 @@
+import time
 import unittest
 from dataclasses import dataclass
 
@@ -31,6 +32,24 @@
         raise RuntimeError("broken")
 
 
+class Alarm(Task):
+    def __init__(self) -> None:
+        super().__init__("alarm")
+        self.wake_at: float | None = None
+        self.woken = 0
+
+    def next_wake_at(self) -> float | None:
+        return self.wake_at
+
+    def on_wake(self) -> None:
+        self.wake_at = None
+        self.woken += 1
+
+    @handles(Add)
+    def _set(self, message: Add) -> None:
+        self.wake_at = time.monotonic() + message.amount / 1000
+
+
 class TaskTest(unittest.TestCase):
     def test_ask_returns_what_the_handler_returns(self) -> None:
         """Guards against replies that get lost or crossed."""
@@ -48,6 +67,15 @@
         task.stop()
         self.assertEqual(task.total, 100)
 
+    def test_handler_can_bring_a_wake_forward(self) -> None:
+        """Guards against a task that sleeps through a deadline that a message has set."""
+        task = Alarm()
+        task.start()
+        task.ask(Add(5))
+        gevent.sleep(0.2)
+        self.assertEqual(task.woken, 1)
+        task.stop()
+
     def test_failure_of_a_told_message_is_reported(self) -> None:
         """Guards against a task that ends without anybody noticing."""
         failures: list[TaskFailed] = []
