Ask suspects before they are declared failed and measure membership

Change: each observer pings a suspect 0.3 s before its time is over; probes keep their period when ticks are late; lists of live ids are computed when needed. A script measures cost and pauses. Figures: none in this commit; the script prints them.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure_membership.py
@@ -0,0 +1,169 @@
+"""Measures what membership costs an instance and how often it declares wrong failures."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+from time import process_time
+
+import click
+
+from damasktide.membership.datagrams import Datagram
+from damasktide.membership.guard import DatagramGuard
+from damasktide.membership.instances import InstanceState
+from damasktide.membership.messages import AnnounceVersion
+from damasktide.membership.swim import Effect, Event
+from damasktide.membership.tests.in_process import InProcessNetwork
+
+SIZES = (9, 25, 50, 100, 200, 400)
+VERSION_NAMES = ("configuration", "ownership/batch-desk", "ownership/lot-ledger")
+JOIN_LIMIT_S = 60.0
+# After all have started at once, each instance still passes on the claims about all others.
+QUIET_S = 15.0
+QUIET_S_PER_INSTANCE = 0.25
+KEY = b"shared key of all instances 0123"
+
+
+class MeteredNetwork(InProcessNetwork):
+    """Encodes and decodes every datagram, and counts bytes and processor time.
+
+    Processor time covers the state machine, the codec, the authentication and the replay
+    window, but neither sockets nor greenlets nor the simulation itself.
+    """
+
+    def __init__(self, instances: int, seed: int) -> None:
+        # One receiver's guard serves all: a sender's numbers are unique over all recipients.
+        self._receiver_guard = DatagramGuard(KEY)
+        self._sender_guard_by_id: dict[str, DatagramGuard] = defaultdict(
+            lambda: DatagramGuard(KEY)
+        )
+        super().__init__(instances, seed, transport=self._carry)
+        self.is_metered = False
+        self.reset()
+
+    def reset(self) -> None:
+        """Begin a new measurement."""
+        self.sent_bytes = 0
+        self.datagrams = 0
+        self.cpu_s = 0.0
+
+    def effects_of(self, instance_id: str, event: Event) -> tuple[Effect, ...]:
+        """Step an instance and count its time."""
+        started = process_time()
+        effects = super().effects_of(instance_id, event)
+        self.cpu_s += process_time() - started
+        return effects
+
+    def _carry(self, sender_id: str, datagram: Datagram) -> Datagram | None:
+        if not self.is_metered:
+            return datagram
+        started = process_time()
+        data = self._sender_guard_by_id[sender_id].seal(datagram)
+        result = self._receiver_guard.unseal(data)
+        self.cpu_s += process_time() - started
+        self.sent_bytes += len(data)
+        self.datagrams += 1
+        return result
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Cost per instance.
+
+    Attributes
+    ----------
+    datagrams, sent_bytes
+        Sent per second; the mean instance receives as many.
+    cpu_us
+        Processor time per second, in microseconds.
+    """
+
+    datagrams: float
+    sent_bytes: float
+    cpu_us: float
+
+
+def _settled(network: InProcessNetwork) -> None:
+    ids = set(network.ids)
+    if not network.run_until(lambda: network.all_see(ids), JOIN_LIMIT_S):
+        raise click.ClickException("the instances did not find each other in time")
+    for instance_id in network.ids:
+        for name in VERSION_NAMES:
+            network.step(instance_id, AnnounceVersion(name, 1))
+    network.run(QUIET_S + QUIET_S_PER_INSTANCE * len(network.ids))
+
+
+def _measure(network: MeteredNetwork, seconds: float) -> Cost:
+    network.reset()
+    network.is_metered = True
+    network.run(seconds)
+    network.is_metered = False
+    total_s = seconds * len(network.state_by_id)
+    return Cost(
+        network.datagrams / total_s,
+        network.sent_bytes / total_s,
+        network.cpu_s / total_s * 1e6,
+    )
+
+
+@click.group()
+def main() -> None:
+    """Measure the membership protocol in simulated time."""
+
+
+@main.command()
+@click.option("--seconds", default=10.0, show_default=True, help="Simulated time per row.")
+@click.option("--seed", default=1, show_default=True)
+def cost(seconds: float, seed: int) -> None:
+    """Print bytes and processor time per second and instance, in quiet and during a loss."""
+    click.echo("instances  state  datagrams/s  bytes/s sent  bytes/s sent+received  cpu us/s")
+    for instances in SIZES:
+        network = MeteredNetwork(instances, seed)
+        _settled(network)
+        _print_cost(instances, "quiet", _measure(network, seconds))
+        network.kill(network.ids[-1])
+        _print_cost(instances, "loss", _measure(network, 3.0))
+
+
+def _print_cost(instances: int, state: str, measured: Cost) -> None:
+    click.echo(
+        f"{instances:9}  {state:5}  {measured.datagrams:11.1f}  {measured.sent_bytes:12.0f}"
+        f"  {2 * measured.sent_bytes:21.0f}  {measured.cpu_us:8.0f}"
+    )
+
+
+@main.command()
+@click.option("--instances", default=50, show_default=True)
+@click.option("--trials", default=100, show_default=True, help="Pauses per row.")
+@click.option("--delay-ms", default=1.0, show_default=True, help="One-way delay.")
+@click.option("--loss", default=0.0, show_default=True, help="Share of lost datagrams.")
+@click.option("--seed", default=1, show_default=True)
+def pauses(instances: int, trials: int, delay_ms: float, loss: float, seed: int) -> None:
+    """Print how often a paused instance, and any other one, is declared failed."""
+    click.echo("pause s  suspected  failed for anyone  failed, share of views  others failed")
+    for pause_s in (0.5, 0.75, 1.0, 2.0, 4.0):
+        network = InProcessNetwork(instances, seed, delay_ms / 1000, loss)
+        _settled(network)
+        _print_pauses(network, pause_s, trials)
+
+
+def _print_pauses(network: InProcessNetwork, pause_s: float, trials: int) -> None:
+    suspected = failed = views = others = 0
+    for _ in range(trials):
+        paused_id = network.random.choice(network.ids)
+        since = network.now
+        network.pause(paused_id, pause_s)
+        network.run(pause_s + 3.0)
+        recent = [declared for declared in network.declared if declared.at >= since]
+        suspected += any(declared.state is InstanceState.SUSPECT for declared in recent)
+        blamed = [declared for declared in recent if declared.state is InstanceState.FAILED]
+        observers = {one.observer_id for one in blamed if one.instance_id == paused_id}
+        failed += bool(observers)
+        views += len(observers)
+        others += sum(declared.instance_id != paused_id for declared in blamed)
+    share = views / (trials * (len(network.ids) - 1))
+    click.echo(
+        f"{pause_s:7}  {suspected:5}/{trials}  {failed:13}/{trials}  {share:22.4f}  {others:13}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/damasktide/src/damasktide/membership/detection.py
+++ b/packages/damasktide/src/damasktide/membership/detection.py
@@ -8,7 +8,6 @@
 from damasktide.membership.probing import Prober
 
 INDIRECT_PROBES = 2
-MAX_REPROBES = 8
 
 
 class FailureDetector:
@@ -30,6 +29,8 @@
         """Do what is due."""
         for probe in self._prober.failed_probes(now):
             self._suspect(probe.target_id, now)
+        for suspect_id in self._exchange.table.last_calls(now):
+            self._exchange.outbox.send(suspect_id, Ping(NO_PROBE_ID))
         for claim in self._exchange.table.expire_suspicions(now):
             self._exchange.spread(claim)
         for late in self._prober.late_probes(now):
@@ -41,9 +42,7 @@
     def restart(self, now: float) -> None:
         """Begin again after a pause of this process, without blaming anyone."""
         self._prober.reset()
-        suspect_ids = tuple(self._exchange.table.restart_suspicions(now))
-        for suspect_id in suspect_ids[:MAX_REPROBES]:
-            self._exchange.outbox.send(suspect_id, Ping(NO_PROBE_ID))
+        self._exchange.table.restart_suspicions(now)
 
     def on_ping(self, sender: Instance, ping: Ping) -> None:
         """Answer a ping."""
--- a/packages/damasktide/src/damasktide/membership/discovery.py
+++ b/packages/damasktide/src/damasktide/membership/discovery.py
@@ -38,8 +38,9 @@
     def run(self, now: float) -> None:
         """Do what is due."""
         table = self._exchange.table
+        live = map(_address_of, table.live_instances())
         lost = map(_address_of, table.lost_instances())
-        for address in self._joiner.choose_addresses(table.peer_addresses, lost, now):
+        for address in self._joiner.choose_addresses(live, lost, now):
             self._exchange.outbox.send_join(address)
         if self._puller.is_due(now):
             for responder_id in self._exchange.random_peers(1):
--- a/packages/damasktide/src/damasktide/membership/joining.py
+++ b/packages/damasktide/src/damasktide/membership/joining.py
@@ -38,15 +38,20 @@
         self._next_at = 0.0
 
     def choose_addresses(
-        self, live: frozenset[Address], lost: Iterable[Address], now: float
+        self, live: Iterable[Address], lost: Iterable[Address], now: float
     ) -> list[Address]:
         """Return the addresses to send a join to; empty if none is due."""
         if now < self._next_at:
             return []
-        candidates = sorted({*self._seeds, *lost} - live - {self._own_address})
-        self._next_at = now + (REJOIN_PERIOD_S if live else JOIN_PERIOD_S)
-        fanout = 1 if live else JOIN_FANOUT
-        return self._random.sample(candidates, min(fanout, len(candidates)))
+        candidates = {*self._seeds, *lost}
+        candidates.discard(self._own_address)
+        is_alone = True
+        for address in live:
+            is_alone = False
+            candidates.discard(address)
+        self._next_at = now + (JOIN_PERIOD_S if is_alone else REJOIN_PERIOD_S)
+        fanout = JOIN_FANOUT if is_alone else 1
+        return self._random.sample(sorted(candidates), min(fanout, len(candidates)))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/membership/probing.py
+++ b/packages/damasktide/src/damasktide/membership/probing.py
@@ -64,7 +64,8 @@
         """Return a new probe if one is due; all peers take turns in a random order."""
         if now < self._next_at or not peer_ids:
             return None
-        self._next_at = now + PROBE_PERIOD_S
+        # Counts on from the time due, so that ticks that come late do not slow the probes.
+        self._next_at = max(self._next_at + PROBE_PERIOD_S, now)
         self._update_order(peer_ids)
         probe = Probe(self.next_probe_id(), self._order.pop(), now)
         self._probe_by_id[probe.probe_id] = probe
--- a/packages/damasktide/src/damasktide/membership/table.py
+++ b/packages/damasktide/src/damasktide/membership/table.py
@@ -8,6 +8,9 @@
 from damasktide.membership.messages import MembershipView
 
 SUSPICION_S = 0.8
+# Each observer asks a suspect itself before it declares it failed, because a refutation may
+# reach this observer later than the suspicion did. Leaves two round trips between regions.
+LAST_CALL_S = 0.3
 FAILED_VISIBLE_S = 30.0
 # A failed member is remembered, unseen, so that the sides of a long network partition find
 # each other again and late claims about it do not bring it back.
@@ -26,13 +29,24 @@
     def __init__(self, own: Instance) -> None:
         self.own = Claim(own)
         self.changed = True
-        self.peer_ids: tuple[str, ...] = ()
-        self.peer_addresses: frozenset[tuple[str, int]] = frozenset()
+        self._peer_ids: tuple[str, ...] | None = None
         self._claim_by_id: dict[str, Claim] = {}
         self._deadline_by_suspect_id: dict[str, float] = {}
+        self._uncalled_suspect_ids: set[str] = set()
         self._failed_at_by_id: dict[str, float] = {}
         self._removed_ids: set[str] = set()
 
+    @property
+    def peer_ids(self) -> tuple[str, ...]:
+        """Ids of the peers that have not failed."""
+        if self._peer_ids is None:
+            self._peer_ids = tuple(filter(self.is_live, self._claim_by_id))
+        return self._peer_ids
+
+    def live_instances(self) -> Iterator[Instance]:
+        """Yield the peers that have not failed."""
+        return (self._claim_by_id[peer_id].instance for peer_id in self.peer_ids)
+
     def get(self, instance_id: str) -> Claim | None:
         """Return what is believed about a peer, or None if it is unknown."""
         return self._claim_by_id.get(instance_id)
@@ -94,11 +108,18 @@
         self.own = replace(self.own, leaving=True)
         self.changed = True
 
-    def restart_suspicions(self, now: float) -> Iterator[str]:
-        """Give all suspects the full time again and yield their ids."""
+    def restart_suspicions(self, now: float) -> None:
+        """Give all suspects the full time again."""
         for instance_id in self._deadline_by_suspect_id:
             self._deadline_by_suspect_id[instance_id] = now + SUSPICION_S
-            yield instance_id
+        self._uncalled_suspect_ids.update(self._deadline_by_suspect_id)
+
+    def last_calls(self, now: float) -> Iterator[str]:
+        """Yield once the ids of suspects whose time is nearly over."""
+        for instance_id in tuple(self._uncalled_suspect_ids):
+            if self._deadline_by_suspect_id[instance_id] - now <= LAST_CALL_S:
+                self._uncalled_suspect_ids.discard(instance_id)
+                yield instance_id
 
     def expire_suspicions(self, now: float) -> Iterator[Claim]:
         """Declare the suspects failed whose time is over and yield the new beliefs."""
@@ -146,16 +167,16 @@
             return
         self._restart_timers(claim, now)
         if held is None or (held.health is Health.FAILED) != (claim.health is Health.FAILED):
-            self.peer_ids = tuple(filter(self.is_live, self._claim_by_id))
-            live = (self._claim_by_id[peer_id].instance for peer_id in self.peer_ids)
-            self.peer_addresses = frozenset((peer.host, peer.gossip_port) for peer in live)
+            self._peer_ids = None
 
     def _restart_timers(self, claim: Claim, now: float) -> None:
         instance_id = claim.instance_id
         self._deadline_by_suspect_id.pop(instance_id, None)
+        self._uncalled_suspect_ids.discard(instance_id)
         self._failed_at_by_id.pop(instance_id, None)
         self._removed_ids.discard(instance_id)
         if claim.health is Health.SUSPECT:
             self._deadline_by_suspect_id[instance_id] = now + SUSPICION_S
+            self._uncalled_suspect_ids.add(instance_id)
         elif claim.health is Health.FAILED:
             self._failed_at_by_id[instance_id] = now
