Forget idle customers in the periodic expiry only

Cause: each call that ended during overload walked over all known customers. Conclusion: the cost of an arrival in overload does not grow with idle customers.

--- a/packages/damasktide/src/damasktide/limits/service_limiter.py
+++ b/packages/damasktide/src/damasktide/limits/service_limiter.py
@@ -97,11 +97,14 @@
         yield from self._admit_queued(now)
 
     def expire(self, now: float) -> Iterator[Verdict]:
-        """Refuse queued requests that can no longer meet their deadline."""
+        """Refuse queued requests that can no longer meet their deadline; to be called often."""
+        yield from self._refuse_late(now)
+        self._queue.forget_idle()
+
+    def _refuse_late(self, now: float) -> Iterator[Verdict]:
         latest_start = now + (self._reserve.value if self._refuses_early else 0.0)
         for entry in self._queue.pop_late(latest_start):
             yield Refused(entry.ticket, _overloaded("no slot before the deadline", self._mean_s))
-        self._queue.forget_idle()
 
     def _refusal(self, now: float, entry: Entry) -> Refusal | None:
         if not self._slots and not self._slots_by_server:
@@ -135,7 +138,7 @@
         if not self._queue:
             return
         if self._refuses_early:
-            yield from self.expire(now)
+            yield from self._refuse_late(now)
         while len(self._running_by_ticket) < self._slots:
             entry = self._queue.pop(self._is_free, self._mean_s)
             if entry is None:
