--- a/packages/damasktide/src/damasktide/balancing/task.py
+++ b/packages/damasktide/src/damasktide/balancing/task.py
@@ -46,7 +46,7 @@
         Share of each target until the first :class:`SharesChanged`; ``NOTHING`` keeps a new
         instance from using slots that the others have not given up yet.
     on_status
-        Called with a snapshot at every refresh; it must not block.
+        Called with a snapshot at every refresh and change of limits; it must not block.
     on_failure
         Called when a handler raises outside an ``ask``.
     """
@@ -74,16 +74,19 @@
     def _refresh(self) -> None:
         now = self._clock.now()
         self._balancer.refresh(now)
-        if self._on_status is not None:
-            self._on_status(self._balancer.status(now))
+        self._publish(now)
 
     @handles(TargetsChanged)
     def _set_targets(self, message: TargetsChanged) -> None:
-        self._balancer.set_targets(self._clock.now(), message.targets)
+        now = self._clock.now()
+        self._balancer.set_targets(now, message.targets)
+        self._publish(now)
 
     @handles(SharesChanged)
     def _set_shares(self, message: SharesChanged) -> None:
-        self._balancer.set_shares(self._clock.now(), message)
+        now = self._clock.now()
+        self._balancer.set_shares(now, message)
+        self._publish(now)
 
     @handles(Pick)
     def _pick(self, message: Pick) -> Picked | NoPick:
@@ -104,3 +107,7 @@
     @handles(AskStatus)
     def _status(self, message: AskStatus) -> BalancerStatus:
         return self._balancer.status(self._clock.now())
+
+    def _publish(self, now: float) -> None:
+        if self._on_status is not None:
+            self._on_status(self._balancer.status(now))
--- a/packages/damasktide/src/damasktide/limits/messages.py
+++ b/packages/damasktide/src/damasktide/limits/messages.py
@@ -6,6 +6,7 @@
 from gevent.event import AsyncResult
 
 from damasktide.admission.refusals import Refusal
+from damasktide.balancing.messages import BalancerStatus
 from damasktide.balancing.targets import Target
 from damasktide.limits.members import Member
 
@@ -92,6 +93,16 @@
     slots: int
     slots_by_server: Mapping[str, int]
 
+    @classmethod
+    def from_status(cls, service: str, status: BalancerStatus) -> "CapacityChanged":
+        """Return the slots that the balancer of ``service`` would give out."""
+        status_by_server = status.status_by_server
+        return cls(
+            service,
+            sum(target.limit for target in status_by_server.values()),
+            {server_id: target.keyed_limit for server_id, target in status_by_server.items()},
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class VolumesChanged:
--- a/packages/damasktide/src/damasktide/limits/tests/test_shares.py
+++ b/packages/damasktide/src/damasktide/limits/tests/test_shares.py
@@ -142,6 +142,7 @@
         """Guards against a resumed instance that goes on with the share it had before."""
         sums = self.pause_and_return(Fleet(3))
         exceeded_s = sum(total > 6 for total in sums) * STEP_S
+        self.assertGreater(exceeded_s, 0.0)
         self.assertLessEqual(exceeded_s, NEWS_DELAY_S + STEP_S)
         self.assertEqual(sums[-1], 6)
 
