Publish unchanged balancer status less often

Ruled out: a slower refresh, which would delay ejection and re-admission. Conclusion: the cost at the design size fits beside the other control work; it is to be measured on the running process.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -125,13 +125,15 @@
         if state is not None and state.ramp.on_boot(now, boot_id):
             state.refresh_limit(now)
 
-    def refresh(self, now: float) -> None:
-        """Review ejections and let ramps grow; to be called a few times a second."""
+    def refresh(self, now: float) -> bool:
+        """Review ejections, let ramps grow and return whether limits changed.
+
+        To be called a few times a second.
+        """
         states = list(self._state_by_server.values())
         self._median_s = median_latency_s(states)
         self._detector.review(states, now, self._median_s)
-        for state in states:
-            state.refresh_limit(now)
+        return sum(state.refresh_limit(now) for state in states) > 0
 
     def status(self, now: float) -> BalancerStatus:
         """Return a snapshot."""
--- a/packages/damasktide/src/damasktide/balancing/state.py
+++ b/packages/damasktide/src/damasktide/balancing/state.py
@@ -85,13 +85,15 @@
         """Decayed latency at the last sample in seconds, or None without any."""
         return None if self._latency_at is None else self._latency_s
 
-    def refresh_limit(self, now: float) -> None:
-        """Set the limits from share, ramp, ejection and whether the target is leaving."""
+    def refresh_limit(self, now: float) -> bool:
+        """Set the limits from share, ramp, ejection and leaving; return whether they changed."""
+        before = self.limit, self.keyed_limit
         if self.target.leaving:
             self.keyed_limit = 0
         else:
             self.keyed_limit = self.share.of(self.ramp.limit(now, self.target.slots))
         self.limit = 0 if self.ejected_until is not None else self.keyed_limit
+        return before != (self.limit, self.keyed_limit)
 
     def add_latency(self, now: float, latency_s: float) -> None:
         """Take in a measured latency, weighted by the time since the one before."""
--- a/packages/damasktide/src/damasktide/balancing/task.py
+++ b/packages/damasktide/src/damasktide/balancing/task.py
@@ -23,6 +23,8 @@
 from damasktide.runtime.task import Task, TaskFailed, every, handles
 
 REFRESH_S = 0.1
+# A snapshot costs more than a refresh, so without a change of limits it is made less often.
+STATUS_S = 0.5
 
 
 class BalancerTask(Task):
@@ -46,7 +48,8 @@
         Share of each target until the first :class:`SharesChanged`; ``NOTHING`` keeps a new
         instance from using slots that the others have not given up yet.
     on_status
-        Called with a snapshot at every refresh and change of limits; it must not block.
+        Called with a snapshot twice a second and at each change of limits; it must not
+        block.
     on_failure
         Called when a handler raises outside an ``ask``.
     """
@@ -73,8 +76,12 @@
     @every(REFRESH_S)
     def _refresh(self) -> None:
         now = self._clock.now()
-        self._balancer.refresh(now)
-        self._publish(now)
+        if self._balancer.refresh(now):
+            self._publish(now)
+
+    @every(STATUS_S)
+    def _publish_status(self) -> None:
+        self._publish(self._clock.now())
 
     @handles(TargetsChanged)
     def _set_targets(self, message: TargetsChanged) -> None:
