Keep targets that fail at once from attracting work

Cause: a target that fails fast has no calls in flight, so it looks idle, and when more than a quarter of the targets fail, ejection cannot remove them all. Ruled out: a larger fraction for ejection (the rest could not carry the load). Change: power_of_two counts each failure in a row as a call. Conclusion: failing targets get less than their part of the calls.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -133,6 +133,7 @@
         states = list(self._state_by_server.values())
         self._median_s = median_latency_s(states)
         self._detector.review(states, now, self._median_s)
+        # Unlike any(), sum() does not stop at the first change.
         return sum(state.refresh_limit(now) for state in states) > 0
 
     def status(self, now: float) -> BalancerStatus:
--- a/packages/damasktide/src/damasktide/balancing/policies.py
+++ b/packages/damasktide/src/damasktide/balancing/policies.py
@@ -112,4 +112,5 @@
 
 def _expected_wait_s(state: TargetState, now: float, median_s: float) -> float:
     latency_s = max(state.latency_s(now, median_s), LATENCY_TOLERANCE * median_s) + MIN_LATENCY_S
-    return (state.load(now) + 1.0) * latency_s
+    # A target that fails at once looks idle, so each failure in a row counts as a call.
+    return (state.load(now) + 1.0 + state.consecutive_failures) * latency_s
--- a/packages/damasktide/src/damasktide/balancing/tests/test_policies.py
+++ b/packages/damasktide/src/damasktide/balancing/tests/test_policies.py
@@ -2,6 +2,7 @@
 import unittest
 from heapq import heappop, heappush
 from random import Random
+from statistics import fmean
 
 from damasktide.balancing.messages import (
     CallOutcome,
@@ -18,6 +19,8 @@
 
 PICK_BUDGET_S = 20e-6
 SERVICE_S = 0.02
+FAILURE_S = 0.001
+WINDOW_S = 0.5
 
 
 class LoadReportTest(unittest.TestCase):
@@ -32,37 +35,69 @@
             self.assertEqual(picked(subject.pick(0.0, Pick())), "s0")
 
 
-class ImbalanceTest(unittest.TestCase):
-    def imbalance(self, policy: str, seed: int) -> float:
-        """Return max/mean of the busy time of 25 targets, as the mean over 0.5 s windows."""
-        rng = Random(seed)
-        targets = near_targets(25)
-        names = [item.server_id for item in targets]
-        subject = balancer(targets, policy, seed=seed)
-        busy_by_window: dict[int, dict[str, float]] = {}
-        ends: list[tuple[float, str, float]] = []
+class PolicyModel:
+    """Half load on 25 targets of 6 slots, of which the first ``bad`` fail at once."""
+
+    def __init__(self, policy: str, seed: int, bad: int = 0) -> None:
+        self._rng = Random(seed)
+        self._names = [item.server_id for item in near_targets(25)]
+        self._bad = frozenset(self._names[:bad])
+        self._subject = balancer(near_targets(25), policy, seed=seed)
+        self._ends: list[tuple[float, str, float]] = []
+        self.failed_fraction = 0.0
+        self.imbalances: list[float] = []
+
+    def run(self, seconds: float) -> "PolicyModel":
         now = next_refresh = 0.0
-        while now < 4.0:
-            now += rng.expovariate(0.5 * 25 * 6 / SERVICE_S)
-            while ends and ends[0][0] <= now:
-                end, name, seconds = heappop(ends)
-                subject.finish(end, Done(name, seconds, CallOutcome.OK))
+        calls = failed = 0
+        busy_by_window: dict[int, dict[str, float]] = {}
+        while now < seconds:
+            now += self._rng.expovariate(0.5 * 25 * 6 / SERVICE_S)
+            self._end_calls(now)
             if now >= next_refresh:
                 next_refresh = now + REFRESH_S
-                subject.refresh(now)
-            name = picked(subject.pick(now, Pick()))
-            seconds = rng.gammavariate(4.0, SERVICE_S / 4.0)
-            heappush(ends, (now + seconds, name, seconds))
-            busy = busy_by_window.setdefault(int(now * 2), dict.fromkeys(names, 0.0))
-            busy[name] += seconds
-        ratios = [25 * max(busy.values()) / sum(busy.values()) for busy in busy_by_window.values()]
-        return sum(ratios[:8]) / 8
+                self._subject.refresh(now)
+            name = picked(self._subject.pick(now, Pick()))
+            busy_s = FAILURE_S if name in self._bad else self._rng.gammavariate(4.0, SERVICE_S / 4)
+            heappush(self._ends, (now + busy_s, name, busy_s))
+            calls += 1
+            failed += name in self._bad
+            window = int(now / WINDOW_S)
+            busy = busy_by_window.setdefault(window, dict.fromkeys(self._names, 0.0))
+            busy[name] += busy_s
+        del busy_by_window[int(now / WINDOW_S)]
+        self.failed_fraction = failed / calls
+        self.imbalances = [max(b.values()) / fmean(b.values()) for b in busy_by_window.values()]
+        return self
 
+    def _end_calls(self, now: float) -> None:
+        while self._ends and self._ends[0][0] <= now:
+            end, name, busy_s = heappop(self._ends)
+            outcome = CallOutcome.FAILED if name in self._bad else CallOutcome.OK
+            self._subject.finish(end, Done(name, busy_s, outcome))
+
+
+class PolicyTest(unittest.TestCase):
     def test_load_is_even_over_25_targets(self) -> None:
         """Guards against targets that get more than their part of the load."""
         for seed in (1, 2, 3):
-            self.assertLessEqual(self.imbalance("power_of_two", seed), 1.15)
-            self.assertGreater(self.imbalance("random", seed), 1.15)
+            even, uneven = (
+                fmean(PolicyModel(policy, seed).run(4.0).imbalances)
+                for policy in ("power_of_two", "random")
+            )
+            self.assertLessEqual(even, 1.15)
+            self.assertGreater(uneven, 1.15)
+
+    def test_targets_that_fail_at_once_do_not_attract_work(self) -> None:
+        """Guards against failing targets that look idle, when too many fail to eject them all."""
+        for seed in (1, 2, 3):
+            failed, blind, attracted = (
+                PolicyModel(policy, seed, bad=10).run(2.0).failed_fraction
+                for policy in ("power_of_two", "random", "least_in_flight")
+            )
+            self.assertLess(failed, 0.5 * blind)
+            # Control: a policy that looks at calls in flight only.
+            self.assertGreater(attracted, 2.0 * blind)
 
 
 class HotPathTest(unittest.TestCase):
