Count a confirmed write as table news; notice shorter pauses

Cause: (1) a confirmed write shows that its version was current, but was not counted as table news. If the table went down after it, nobody had news of the new version and no right was left. (2) a pause between 0.25 s and 0.4 s was not noticed, and a server whose response waited meanwhile was taken for lost. Ruled out: counting the write from its response, because rights count from the sending of a request. Change: the write counts as news from its sending; a gap of SUSPECT_AFTER_S - RENEW_INTERVAL_S between ticks restarts the watch. Conclusion: test_confirmed_write_is_table_news and test_pause_shorter_than_the_suspicion_time fail without the change.

--- a/packages/damasktide/src/damasktide/ownership/constants.py
+++ b/packages/damasktide/src/damasktide/ownership/constants.py
@@ -12,6 +12,10 @@
 # Clocks of two machines may run apart by this factor, so each wait is stretched by it.
 CLOCK_RATE_FACTOR = 1.01
 
+# Two ticks this far apart show that the process was paused: a shorter pause leaves time for a
+# response before the suspicion time is over.
+PAUSED_AFTER_S = SUSPECT_AFTER_S - RENEW_INTERVAL_S
+
 # A backend server that does not check grants may overrun a deadline by this much.
 UNCHECKED_MARGIN_S = 0.1
 
--- a/packages/damasktide/src/damasktide/ownership/service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/service_ownership.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from damasktide.ownership.authority import Authority
-from damasktide.ownership.constants import HOLD_LIMIT_S, SUSPECT_AFTER_S
+from damasktide.ownership.constants import HOLD_LIMIT_S, PAUSED_AFTER_S, SUSPECT_AFTER_S
 from damasktide.ownership.contacts import Contact, Contacts
 from damasktide.ownership.effects import (
     AskAdopt,
@@ -81,6 +81,7 @@
         self._proposals = Proposals(self._placement, self._moves, self._contacts)
         self._is_row_absent = False
         self._is_write_open = False
+        self._write_sent_at = NEVER
         self._last_tick_at = NEVER
 
     @property
@@ -112,10 +113,11 @@
             self._authority.record_news(shard_map.version, asked_at)
 
     def on_write_result(self, written: ShardMap | None, now: float) -> None:
-        """Take the result of a write; None means a conflict or an error."""
+        """Take the row after a write, own or another's; None means that it is not known."""
         self._is_write_open = False
         if written is not None:
             self._adopt(written, now)
+            self._authority.record_news(written.version, self._write_sent_at)
 
     def on_adopt_request(self, shard_map: ShardMap, now: float) -> int:
         """Adopt a map from a peer and return the version that is adopted now."""
@@ -153,14 +155,14 @@
 
     def on_tick(self, now: float) -> Iterator[Effect]:
         """Yield what is to be done now; called once per renewal interval."""
-        if now - self._last_tick_at > SUSPECT_AFTER_S:
+        if now - self._last_tick_at > PAUSED_AFTER_S:
             # The process was paused, so missing responses say nothing about the servers.
             self._contacts.restart_watch(now)
         self._last_tick_at = now
         roles = self._roles()
         yield from self._news_effects(roles, now)
         if self._map is None:
-            yield from self._creation_effects(roles)
+            yield from self._creation_effects(roles, now)
             return
         yield from self._grant_effects(roles, now)
         yield from self._adopt_effects(roles, now)
@@ -270,13 +272,12 @@
         for instance_id in sorted(missing - {self._settings.instance_id}):
             yield AskAdopt(instance_id, self._map)
 
-    def _creation_effects(self, roles: Roles) -> Iterator[Effect]:
+    def _creation_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
         if self._is_write_open or not self._is_row_absent or not roles.is_placer():
             return
         first = self._placement.first_map(self._settings.service, self._surroundings)
         if first is not None:
-            self._is_write_open = True
-            yield WriteMap(first, based_on=0)
+            yield self._write(first, 0, now)
 
     def _write_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
         """Propose at most one change of the map; only with fresh table news."""
@@ -287,5 +288,9 @@
         view = View(self._map, roles, controlled, self._surroundings, now)
         proposed = self._proposals.next_map(view)
         if proposed is not None:
-            self._is_write_open = True
-            yield WriteMap(proposed, based_on=self._map.version)
+            yield self._write(proposed, self._map.version, now)
+
+    def _write(self, shard_map: ShardMap, based_on: int, now: float) -> WriteMap:
+        self._is_write_open = True
+        self._write_sent_at = now
+        return WriteMap(shard_map, based_on)
--- a/packages/damasktide/src/damasktide/ownership/tests/test_service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_service_ownership.py
@@ -1,6 +1,10 @@
 import unittest
+from dataclasses import replace
 
+from damasktide.ownership.effects import WriteMap
 from damasktide.ownership.tests.fixtures import (
+    NEW,
+    OLD,
     TICK_S,
     confirm,
     decisions,
@@ -39,3 +43,31 @@
         for peer in ("a2", "b1", "b2"):
             subject.on_confirm_reply(confirm(peer), 0.6)
         self.assertTrue(granted(list(subject.on_tick(0.7))))
+
+
+class TableNewsTest(unittest.TestCase):
+    def test_confirmed_write_is_table_news(self) -> None:
+        """Guards against a table outage that follows a write and leaves no right.
+
+        Nobody else can have table news of the new version then, so no quorum counts either.
+        """
+        subject = decisions("a1")
+        subject.on_table_read(None, 0.0, 0.0)
+        (write,) = [one for one in subject.on_tick(0.1) if isinstance(one, WriteMap)]
+        subject.on_write_result(write.shard_map, 0.2)
+        self.assertAlmostEqual(subject.right_valid_until("a"), 0.1 + 0.6)
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_pause_shorter_than_the_suspicion_time(self) -> None:
+        """Guards against moves because this process was paused, not the server."""
+        both_own = replace(first_map(), servers=(OLD, NEW), owners=(0, 1))
+        subject = decisions("a1", "b1")
+        subject.on_table_read(both_own, 0.0, 0.0)
+        list(subject.on_tick(0.0))
+        subject.on_server_reply("old", reply(), 0.01)
+        list(subject.on_tick(0.15))
+        # The response to the tick at 0.15 s waits while the process is paused for 0.3 s.
+        subject.on_table_read(both_own, 0.44, 0.44)
+        effects = list(subject.on_tick(0.45))
+        self.assertFalse([one for one in effects if isinstance(one, WriteMap)])
