Let a returned server keep its shards; drain beside pending losses

Cause: (1) completion came before cancellation, so a lost server that answered again accepted its fence and its shards moved all the same. Ruled out: cancelling planned moves of a returned server, whose cause remains. Change: returned servers come first; only planned moves hold up planned moves.

--- a/packages/damasktide/src/damasktide/ownership/placement.py
+++ b/packages/damasktide/src/damasktide/ownership/placement.py
@@ -70,6 +70,20 @@
         confirmers = with_confirmers(placed, ids_by_domain, self._region_by_domain)
         return _at_version(confirmers, 1)
 
+    def returned_server_moves(
+        self, shard_map: ShardMap, controlled: Set[str], contacts: Contacts, now: float
+    ) -> ShardMap | None:
+        """Return the map in which servers that answer again keep their shards, or None."""
+        returned = [
+            (move.shard, move.old_owner, move.cause)
+            for move in shard_map.pending
+            if move.cause is MoveCause.LOST
+            and move.old_owner in controlled
+            and (contact := contacts.get(move.old_owner)) is not None
+            and contact.is_reached(now)
+        ]
+        return with_moves(shard_map, returned, ()) if returned else None
+
     def lost_server_moves(
         self,
         shard_map: ShardMap,
@@ -78,25 +92,12 @@
         surroundings: Surroundings,
         now: float,
     ) -> ShardMap | None:
-        """Return the map in which the shards of lost servers move, or None.
-
-        A server that answers again before its moves complete keeps its shards.
-        """
+        """Return the map in which the shards of lost servers move, or None."""
         lost = {
             server_id
             for server_id in controlled
             if (contact := contacts.get(server_id)) is not None and contact.is_suspect(now)
         }
-        returned = [
-            (move.shard, move.old_owner, move.cause)
-            for move in shard_map.pending
-            if move.cause is MoveCause.LOST
-            and move.old_owner in controlled
-            and (contact := contacts.get(move.old_owner)) is not None
-            and contact.is_reached(now)
-        ]
-        if returned:
-            return with_moves(shard_map, returned, ())
         if not lost:
             return None
         usable_by_id = self._safe_new_owners(shard_map, contacts, surroundings, lost, now)
@@ -108,8 +109,13 @@
     def planned_moves(
         self, shard_map: ShardMap, contacts: Contacts, surroundings: Surroundings, now: float
     ) -> ShardMap | None:
-        """Return the map with the next batch of planned moves, or None."""
-        if now - self._last_plan_at < PLAN_INTERVAL_S or shard_map.pending:
+        """Return the map with the next batch of planned moves, or None.
+
+        Moves from lost servers may stay pending for ``HOLD_LIMIT_S``, so they do not hold up
+        planned ones.
+        """
+        is_planned_pending = any(m.cause is not MoveCause.LOST for m in shard_map.pending)
+        if now - self._last_plan_at < PLAN_INTERVAL_S or is_planned_pending:
             return None
         cause_by_id = _unusable_causes(surroundings)
         usable_by_id = {
--- a/packages/damasktide/src/damasktide/ownership/proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/proposals.py
@@ -56,6 +56,11 @@
 
     def _by_urgency(self, view: View) -> Iterator[ShardMap | None]:
         shard_map, now = view.shard_map, view.now
+        # Before completion: a server that returns accepts its fence at once, and its shards
+        # would move although it is there again.
+        yield self._placement.returned_server_moves(
+            shard_map, view.controlled, self._contacts, now
+        )
         yield self._moves.completed(shard_map, view.controlled, self._contacts, now)
         yield self._placement.lost_server_moves(
             shard_map, view.controlled, self._contacts, view.surroundings, now
