Hedge slow calls and take slots from the balancers

Cause: the router sent one call at a time, and the limiter computed slots apart from the balancers' ramp and ejection. Ruled out: hedging of keyed calls, which only their owner may run. Change: a hedged call with cancellation inside the retry budget; capacity from each balancer's status; no slots before the first shares; callers of the process faults keep the attempt number when the connection failed.

--- a/packages/damasktide-standins/src/damasktide_standins/cluster/client.py
+++ b/packages/damasktide-standins/src/damasktide_standins/cluster/client.py
@@ -5,9 +5,10 @@
 from typing import Any
 
 from urllib3 import PoolManager
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 
 NO_ANSWER = 0
+NOT_CONNECTED = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +18,7 @@
     Attributes
     ----------
     status
-        HTTP status, or 0 without an answer.
+        HTTP status; 0 without an answer, -1 if the request was never sent.
     body
         The body.
     served_by
@@ -76,6 +77,8 @@
             sent["Idempotency-Key"] = request_id
         try:
             response = self._http.request(method, url, headers=sent, body=body)
+        except NewConnectionError:
+            return CallerAnswer(NOT_CONNECTED)
         except HTTPError:
             return CallerAnswer(NO_ANSWER)
         return CallerAnswer(
--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/load.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/load.py
@@ -9,7 +9,7 @@
 
 import gevent
 
-from damasktide_standins.cluster.client import NO_ANSWER, CallerAnswer, Client
+from damasktide_standins.cluster.client import NO_ANSWER, NOT_CONNECTED, CallerAnswer, Client
 from damasktide_standins.cluster.layout import TOKEN
 from damasktide_standins.cluster.local_cluster import LocalCluster
 from damasktide_standins.ownership_world.history import Attempt, Outcome, Received
@@ -118,6 +118,8 @@
         if answer.status == NO_ANSWER:
             self.record.no_answers += 1
             return Outcome.UNKNOWN
+        if answer.status == NOT_CONNECTED:
+            return Outcome.NOT_RUN
         if answer.status == 200:
             return Outcome.DONE
         problem = answer.json()
--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -1,6 +1,7 @@
 """An entry instance: builds its tasks, starts them and stops them in order."""
 
 import secrets
+from collections.abc import Mapping
 
 import gevent
 from gevent.pywsgi import WSGIServer
@@ -19,6 +20,7 @@
     PullContext,
     VersionPullerTask,
 )
+from damasktide.balancing.messages import BalancerStatus
 from damasktide.catalog.adoption import CatalogAccepted
 from damasktide.catalog.catalog_task import CatalogTask
 from damasktide.catalog.lists import Catalog
@@ -27,6 +29,7 @@
 from damasktide.discovery.live_list import LiveListTask
 from damasktide.discovery.topology import OutOfService, Topology, TopologyTask
 from damasktide.forwarding.execution import ExecutionView
+from damasktide.forwarding.hedging import SlowTargets
 from damasktide.forwarding.request_service import FORWARD_KIND, RequestService, ServiceParts
 from damasktide.forwarding.retry_budget import RetryBudgetTask
 from damasktide.forwarding.router import Router
@@ -38,7 +41,8 @@
 from damasktide.idempotency.memory import RequestMemory
 from damasktide.lifecycle.state import Lifecycle, LifecycleSnapshot, Phase
 from damasktide.lifecycle.task import BeginDrain, LifecycleTask, MarkReady
-from damasktide.limits.messages import VolumesChanged
+from damasktide.limits.messages import CapacityChanged, VolumesChanged
+from damasktide.limits.slot_share import SlotShare
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance, InstanceState
 from damasktide.membership.messages import (
@@ -118,6 +122,7 @@
         self._topology: Published[Topology | None] = Published(None)
         self._lifecycle_snapshot = Published(LifecycleSnapshot())
         self._view = Published(ExecutionView(self.own))
+        self._shares: Published[Mapping[str, SlotShare]] = Published({})
 
     def _build_tasks(self) -> None:
         settings = self._settings
@@ -136,9 +141,8 @@
         )
         self._peers = PeerClient(self.own.instance_id, settings.peer_key, self._clock)
         self._services = build_services(self._shared_parts())
-        self._shares = ShareDistributor(self._services, self._view)
-        self._limiter = LimiterTask(self.own, self._shares.distribute, self._clock, fail)
-        self._shares.limiter = self._limiter
+        self._distributor = ShareDistributor(self._services, self._view, self._shares)
+        self._limiter = LimiterTask(self.own, self._distributor.distribute, self._clock, fail)
         self._budget = RetryBudgetTask(self._clock, fail)
         self._gatekeeper = GatekeeperTask(RequestMemory(), self._clock, fail)
         self._topology_task = self._build_topology()
@@ -194,6 +198,7 @@
             clock=self._clock,
             instance_by_id=self._instance_by_id,
             announce=lambda name, version: self._membership.tell(AnnounceVersion(name, version)),
+            on_status=self._on_balancer_status,
             on_failure=self._lifecycle.tell,
         )
 
@@ -211,6 +216,7 @@
             service_by_name=self._settings.service_by_name,
             route_by_service=route_by_service,
             view=self._view,
+            shares=self._shares,
             router=router,
             limiter=self._limiter,
             gatekeeper=self._gatekeeper,
@@ -262,12 +268,24 @@
             tasks.route.owners.value.shard_map is not None for tasks in self._services.values()
         )
         has_catalog = self._catalog_snapshot.value is not None
-        return has_maps and has_catalog and self._view.value.has_share()
+        return has_maps and has_catalog and self._has_share()
+
+    def _has_share(self) -> bool:
+        target_by_id = self._view.value.target_by_id
+        return any(
+            share.of(target_by_id[server_id].slots) > 0
+            for server_id, share in self._shares.value.items()
+            if server_id in target_by_id
+        )
 
     def _record(self, message: object) -> None:
         if self._telemetry is not None:
             self._telemetry.tell(message)
 
+    def _on_balancer_status(self, service: str, status: BalancerStatus) -> None:
+        self._limiter.tell(CapacityChanged.from_status(service, status))
+        self._services[service].route.hedging.tell(SlowTargets(status.slow_fraction))
+
     def _on_phase(self, snapshot: LifecycleSnapshot) -> None:
         if snapshot.phase is Phase.LEAVING:
             self._membership.tell(Leave())
@@ -276,7 +294,7 @@
 
     def _on_topology(self, topology: Topology) -> None:
         self._topology.publish(topology)
-        self._shares.see_topology(topology)
+        self._distributor.see_topology(topology, self._limiter)
 
     def _on_catalog(self, accepted: CatalogAccepted) -> None:
         self._catalog_snapshot.publish(accepted.catalog)
--- a/packages/damasktide/src/damasktide/assembly/services.py
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -5,9 +5,11 @@
 from functools import partial
 
 from damasktide.balancing.locality import Locality
-from damasktide.balancing.messages import BootSeen
+from damasktide.balancing.messages import BalancerStatus, BootSeen
 from damasktide.balancing.task import BalancerTask
 from damasktide.forwarding.destinations import ServiceRoute
+from damasktide.forwarding.hedging import HedgePlan, HedgingTask
+from damasktide.limits.slot_share import NOTHING
 from damasktide.membership.instances import Instance
 from damasktide.ownership import codec
 from damasktide.ownership.executor import (
@@ -34,8 +36,9 @@
 
 BALANCING_POLICY = "power_of_two"
 
-# One instance's part of the link between regions, of about 30 Mbit/s for all traffic.
-LINK_BYTES_PER_S = 200_000.0
+# What requests may use of the link between regions, over all instances. The link carries about
+# 30 Mbit/s for all traffic; the rest is left to control traffic and to others.
+LINK_BYTES_PER_S = 2_000_000.0
 
 # A read of the map row that takes longer than this is worth no right any more.
 _MAP_STORE_TIMEOUT_S = 0.5
@@ -67,7 +70,7 @@
 
     def all(self) -> tuple[Task, ...]:
         """Return the tasks in the order in which they start."""
-        return self.store, self.balancer, self.ownership
+        return self.store, self.balancer, self.route.hedging, self.ownership
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,8 @@
         Returns the known instances.
     announce
         Announces the version of something that this instance holds.
+    on_status
+        Called with the name of a service and the status of its balancer.
     on_failure
         Called when a task fails.
     """
@@ -98,6 +103,7 @@
     clock: Clock
     instance_by_id: Callable[[], Mapping[str, Instance]]
     announce: Callable[[str, int], None]
+    on_status: Callable[[str, BalancerStatus], None]
     on_failure: Callable[[TaskFailed], None]
 
 
@@ -123,9 +129,13 @@
         service.name,
         Locality(settings.domain, settings.region),
         BALANCING_POLICY,
-        LINK_BYTES_PER_S,
+        0.0,
+        initial_share=NOTHING,
+        on_status=lambda status: shared.on_status(service.name, status),
         on_failure=shared.on_failure,
     )
+    hedge_plan = Published(HedgePlan())
+    hedging = HedgingTask(service.name, hedge_plan.publish, shared.on_failure)
     space = ShardSpace(service.shards, settings.regions)
     snapshot = Published(OwnerSnapshot())
     context = ExecutorContext(
@@ -144,7 +154,7 @@
         on_version=lambda version: shared.announce(f"ownership/{service.name}", version),
         on_failure=shared.on_failure,
     )
-    route = ServiceRoute(service.name, space, snapshot, balancer)
+    route = ServiceRoute(service.name, space, snapshot, balancer, hedging, hedge_plan)
     return ServiceTasks(service, store, ownership, balancer, route)
 
 
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -7,6 +7,7 @@
 from damasktide.admission.request import AdmittedRequest
 from damasktide.balancing.messages import NoPickReason, Pick, Picked
 from damasktide.balancing.task import BalancerTask
+from damasktide.forwarding.hedging import HedgePlan, HedgingTask
 from damasktide.forwarding.upstream import Destination
 from damasktide.ownership.messages import OwnerSnapshot
 from damasktide.ownership.shard_map import OwnerServer
@@ -29,12 +30,18 @@
         Snapshot of the adopted map.
     balancer
         Task that chooses targets for unkeyed requests.
+    hedging
+        Task that learns after which delay to hedge.
+    hedge_plan
+        Its present plan.
     """
 
     service: str
     space: ShardSpace
     owners: Published[OwnerSnapshot]
     balancer: BalancerTask
+    hedging: HedgingTask
+    hedge_plan: Published[HedgePlan]
 
 
 Finder = Callable[[ServiceRoute, AdmittedRequest, tuple[str, ...]], Destination | Refusal]
--- a/packages/damasktide/src/damasktide/forwarding/execution.py
+++ b/packages/damasktide/src/damasktide/forwarding/execution.py
@@ -7,7 +7,7 @@
 from damasktide.balancing.targets import Target
 from damasktide.idempotency.placement import gatekeeper_of_request, gatekeeper_of_shard
 from damasktide.limits.shares import holders
-from damasktide.limits.slot_share import NOTHING, SlotShare
+from damasktide.limits.slot_share import SlotShare
 from damasktide.membership.instances import Instance
 from damasktide.ownership.shard_map import OwnerServer
 
@@ -29,15 +29,12 @@
         Monotonic time in seconds at which each of them was first seen alive.
     target_by_id
         Listed backend servers.
-    share_by_server
-        This instance's share of the slots of each backend server.
     """
 
     own: Instance
     alive: Sequence[Instance] = ()
     seen_at_by_id: Mapping[str, float] = field(default_factory=dict)
     target_by_id: Mapping[str, Target] = field(default_factory=dict)
-    share_by_server: Mapping[str, SlotShare] = field(default_factory=dict)
 
     def executors_in(self, domain: str, now: float) -> list[Instance]:
         """Return the instances of a failure domain that may run requests.
@@ -53,14 +50,6 @@
         ]
         return settled or alive
 
-    def has_share(self) -> bool:
-        """Return whether this instance has a slot of any backend server."""
-        return any(
-            share.of(self.target_by_id[server_id].slots) > 0
-            for server_id, share in self.share_by_server.items()
-            if server_id in self.target_by_id
-        )
-
 
 def executor_of_keyed(
     view: ExecutionView,
@@ -68,6 +57,7 @@
     owner: OwnerServer,
     shard: int,
     grants_checked: bool,
+    own_share: SlotShare,
     now: float,
 ) -> str:
     """Return the id of the instance that sends a keyed request to its owner.
@@ -77,9 +67,7 @@
     domain may send those. Others are sent from here if this instance has a slot of the owner.
     """
     target = view.target_by_id.get(owner.server_id)
-    has_slot = target is None or (
-        view.share_by_server.get(owner.server_id, NOTHING).of(target.slots) > 0
-    )
+    has_slot = target is None or own_share.of(target.slots) > 0
     if admitted.is_idempotent and grants_checked and has_slot:
         return view.own.instance_id
     candidates = view.executors_in(owner.domain, now)
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -23,6 +23,7 @@
 from damasktide.idempotency.placement import identity_of
 from damasktide.idempotency.records import Completed, NotRun, RequestOutcome, Unknown
 from damasktide.limits.messages import Leave, Refused
+from damasktide.limits.slot_share import NOTHING, SlotShare
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance
 from damasktide.peering.client import PeerClient
@@ -46,6 +47,8 @@
         What is needed to find destinations.
     view
         What the choice of the executor depends on.
+    shares
+        This instance's share of the slots of each backend server.
     router, limiter, gatekeeper, peers
         The parts that do the work.
     """
@@ -54,6 +57,7 @@
     service_by_name: Mapping[str, ServiceSettings]
     route_by_service: Mapping[str, ServiceRoute]
     view: Published[ExecutionView]
+    shares: Published[Mapping[str, SlotShare]]
     router: Router
     limiter: LimiterTask
     gatekeeper: GatekeeperTask
@@ -108,8 +112,15 @@
         if isinstance(found, Refusal):
             return found
         grants_checked = self._parts.service_by_name[route.service].grants_checked
+        own_share = self._parts.shares.value.get(found.owner.server_id, NOTHING)
         return executor_of_keyed(
-            view, admitted, found.owner, found.shard, grants_checked, time.monotonic()
+            view,
+            admitted,
+            found.owner,
+            found.shard,
+            grants_checked,
+            own_share,
+            time.monotonic(),
         )
 
     def _run_at_peer(self, admitted: AdmittedRequest, instance_id: str) -> Answer | Refusal:
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -12,10 +12,13 @@
 from damasktide.forwarding.backoff import Backoff, FailedCall, Retry
 from damasktide.forwarding.destinations import ServiceRoute, destination_finders
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
+from damasktide.forwarding.hedged_call import HedgedCall
+from damasktide.forwarding.hedging import CallObserved
 from damasktide.forwarding.retry_budget import CountRequest, RetryBudgetTask, SpendRetry
 from damasktide.forwarding.upstream import Destination, Upstream
 from damasktide.limits.messages import Placed
 from damasktide.limits.task import LimiterTask
+from damasktide.telemetry.metrics import HEDGE_REASON
 
 # An owner that was lost is replaced within 2 s, so a keyed request waits at most that long.
 OWNER_WAIT_S = 2.0
@@ -97,7 +100,7 @@
                 continue
             if not admitted.is_keyed:
                 self._limiter.tell(Placed(ticket, destination.server_id))
-            result = self._call(route, admitted, destination, remaining_s)
+            result = self._call_hedged(route, admitted, destination, remaining_s, ticket)
             if isinstance(result, Answer):
                 return result
             tries.record(result)
@@ -125,6 +128,40 @@
         gevent.sleep(decision.delay_s)
         return None
 
+    def _call_hedged(
+        self,
+        route: ServiceRoute,
+        admitted: AdmittedRequest,
+        destination: Destination,
+        remaining_s: float,
+        ticket: int,
+    ) -> Answer | UpstreamFailure:
+        """Call a target; an unkeyed idempotent call that takes long gets a second one."""
+        may_hedge = admitted.is_idempotent and not admitted.is_keyed
+        delay_s = route.hedge_plan.value.delay_for(may_hedge, remaining_s)
+        if delay_s is None:
+            return self._call(route, admitted, destination, remaining_s)
+
+        def second_destination() -> Destination | None:
+            if not self._budget.ask(SpendRetry()):
+                return None
+            found = destination_finders.get(False)(route, admitted, (destination.server_id,))
+            if isinstance(found, Refusal):
+                return None
+            self._count(HEDGE_REASON)
+            return found
+
+        def cancelled(loser: Destination) -> None:
+            route.balancer.tell(Done(loser.server_id, delay_s, CallOutcome.CANCELLED))
+            self._upstream.cancel(admitted.request.request_id, loser)
+
+        hedged = HedgedCall(
+            lambda chosen: self._call(route, admitted, chosen, remaining_s),
+            second_destination,
+            cancelled,
+        )
+        return hedged.run(destination, delay_s)
+
     def _call(
         self,
         route: ServiceRoute,
@@ -139,6 +176,7 @@
             if isinstance(result, UpstreamFailure):
                 outcome = _OUTCOME_BY_KIND[result.kind]
             latency_s = time.monotonic() - started
+            route.hedging.tell(CallObserved(latency_s))
             route.balancer.tell(Done(destination.server_id, latency_s, outcome))
         return result
 
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_codec.py
@@ -0,0 +1,46 @@
+import time
+import unittest
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.admission.request import AdmittedRequest, Answer, CallerRequest
+from damasktide.forwarding import codec
+
+
+class CodecTest(unittest.TestCase):
+    def test_request_survives_the_way_to_another_instance(self) -> None:
+        """Guards against a field lost between instances, such as the regions of a request."""
+        request = CallerRequest(
+            request_id="booking-1",
+            has_given_id=True,
+            attempt=2,
+            method="POST",
+            service="batch-desk",
+            operation="bookings",
+            key="",
+            query="a=1",
+            content_type="application/json",
+            body=b"\x00\xff",
+            deadline=time.monotonic() + 3.0,
+            home_regions=frozenset({"oyo"}),
+            token="secret",
+        )
+        admitted = AdmittedRequest(request, "crew", frozenset({"oyo"}), False, True)
+        encoded = codec.encode_request(admitted)
+        self.assertNotIn(b"secret", encoded)
+        decoded = codec.decode_request(encoded)
+        self.assertEqual(decoded.request.key, "")
+        self.assertEqual([decoded.request.attempt, decoded.request.body], [2, b"\x00\xff"])
+        self.assertEqual(decoded.allowed_regions, frozenset({"oyo"}))
+        self.assertEqual([decoded.is_idempotent, decoded.is_keyed], [False, True])
+        self.assertLessEqual(decoded.request.deadline, request.deadline)
+
+    def test_results_keep_their_kind(self) -> None:
+        """Guards against a refusal that arrives as an answer or loses its code."""
+        answer = Answer(201, "text/plain", b"done", "server-1", {})
+        refusal = Refusal(RefusalCode.OUTCOME_UNKNOWN, "no answer")
+        self.assertEqual(codec.decode_result(codec.encode_result(answer)), answer)
+        self.assertEqual(codec.decode_result(codec.encode_result(refusal)), refusal)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -1,9 +1,11 @@
 """Calls a target once and says what is known about the outcome."""
 
+import contextlib
 import time
 from dataclasses import dataclass
 from urllib.parse import quote
 
+import gevent
 from urllib3 import HTTPConnectionPool, PoolManager, Retry, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -20,6 +22,7 @@
 REQUEST_ID_HEADER = "Idempotency-Key"
 
 _CONNECT_TIMEOUT_S = 0.25
+_CANCEL_TIMEOUT_S = 0.5
 _NOT_OWNER_STATUS = 409
 
 
@@ -133,6 +136,21 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return Answer(response.status, content_type, body, server_id, {})
 
+    def cancel(self, request_id: str, destination: Destination) -> None:
+        """Ask a target in the background to give up a request."""
+        gevent.spawn(self._send_cancel, request_id, destination)
+
+    def _send_cancel(self, request_id: str, destination: Destination) -> None:
+        pool = self._pools.connection_from_host(destination.host, destination.port, "http")
+        timeout = Timeout(connect=_CONNECT_TIMEOUT_S, read=_CANCEL_TIMEOUT_S)
+        with contextlib.suppress(HTTPError, OSError):
+            pool.urlopen(
+                "DELETE",
+                f"/damasktide/requests/{quote(request_id)}",
+                timeout=timeout,
+                retries=False,
+            )
+
     def close(self) -> None:
         """Close all connections."""
         self._pools.clear()
--- a/packages/damasktide/src/damasktide/telemetry/metrics.py
+++ b/packages/damasktide/src/damasktide/telemetry/metrics.py
@@ -39,6 +39,7 @@
 
 REQUESTS_RECEIVED = "request.received"
 REQUESTS_ANSWERED = "request.answered"
+HEDGE_REASON = "hedge"
 REQUEST_DURATION = "request.duration"
 TASKS_FAILED = "task.failed"
 UNDECLARED = "telemetry.undeclared"
@@ -83,6 +84,11 @@
     for kind in FailureKind:
         description = f"Calls sent again after `{kind.value}`."
         yield Metric(retry_metric(kind.value), MetricKind.COUNTER, description)
+    yield Metric(
+        retry_metric(HEDGE_REASON),
+        MetricKind.COUNTER,
+        "Second calls sent while the first one ran.",
+    )
 
 
 @FAMILIES.register("Process")
