Count plan volume where a request is received

Cause: volume was counted at the instance that runs a request, so a customer whose requests share one key got one instance's part of its volume. Ruled out: a share of the volume by key, which needs a coordinator. Change: the receiving instance counts and refunds; forwarded requests are not counted again. Conclusion: the test fails if forwarded requests are counted where they run.

--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -22,7 +22,7 @@
 from damasktide.idempotency.memory import Proceed, Replay
 from damasktide.idempotency.placement import identity_of
 from damasktide.idempotency.records import Completed, NotRun, RequestOutcome, Unknown
-from damasktide.limits.messages import Leave, Refused
+from damasktide.limits.messages import Leave, RefundVolume, Refused, TakeVolume
 from damasktide.limits.slot_share import NOTHING, SlotShare
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance
@@ -89,13 +89,13 @@
         if isinstance(executor_id, Refusal):
             return executor_id
         if executor_id == self._parts.view.value.own.instance_id:
-            return self._run_here(admitted)
-        return self._run_at_peer(admitted, executor_id)
+            return self._run_here(admitted, counts_volume=True)
+        return self._run_counted_at_peer(admitted, executor_id)
 
     def handle_forwarded(self, _sender_id: str, body: bytes) -> bytes:
         """Run a request that another instance admitted."""
         admitted = codec.decode_request(body)
-        return codec.encode_result(self._run_here(admitted))
+        return codec.encode_result(self._run_here(admitted, counts_volume=False))
 
     def _choose_executor(self, admitted: AdmittedRequest) -> str | Refusal:
         view = self._parts.view.value
@@ -123,6 +123,19 @@
             time.monotonic(),
         )
 
+    def _run_counted_at_peer(
+        self, admitted: AdmittedRequest, instance_id: str
+    ) -> Answer | Refusal:
+        """Count the request here, because callers reach all instances alike, and forward it."""
+        limiter = self._parts.limiter
+        refusal: Refusal | None = limiter.ask(TakeVolume(admitted.customer))
+        if refusal is not None:
+            return refusal
+        result = self._run_at_peer(admitted, instance_id)
+        if isinstance(result, Refusal) and result.code.outcome is Outcome.NOT_RUN:
+            limiter.tell(RefundVolume(admitted.customer))
+        return result
+
     def _run_at_peer(self, admitted: AdmittedRequest, instance_id: str) -> Answer | Refusal:
         peer = self._peer(instance_id)
         remaining_s = admitted.request.deadline - time.monotonic()
@@ -143,12 +156,12 @@
         alive = self._parts.view.value.alive
         return next((item for item in alive if item.instance_id == instance_id), None)
 
-    def _run_here(self, admitted: AdmittedRequest) -> Answer | Refusal:
+    def _run_here(self, admitted: AdmittedRequest, counts_volume: bool) -> Answer | Refusal:
         if admitted.is_idempotent:
-            return self._run_limited(admitted)
-        return self._run_once(admitted)
+            return self._run_limited(admitted, counts_volume)
+        return self._run_once(admitted, counts_volume)
 
-    def _run_once(self, admitted: AdmittedRequest) -> Answer | Refusal:
+    def _run_once(self, admitted: AdmittedRequest, counts_volume: bool) -> Answer | Refusal:
         """Run a request that must not run twice, unless its record says otherwise."""
         request = admitted.request
         identity = identity_of(
@@ -167,13 +180,13 @@
         assert isinstance(decision, Proceed)
         outcome: RequestOutcome = Unknown()
         try:
-            result = self._run_limited(admitted)
+            result = self._run_limited(admitted, counts_volume)
             outcome = _outcome_of(result)
             return result
         finally:
             self._parts.gatekeeper.tell(Finish(identity, decision.run, outcome))
 
-    def _run_limited(self, admitted: AdmittedRequest) -> Answer | Refusal:
+    def _run_limited(self, admitted: AdmittedRequest, counts_volume: bool) -> Answer | Refusal:
         request = admitted.request
         owner_id = None
         if admitted.is_keyed:
@@ -182,7 +195,9 @@
             if not isinstance(found, Refusal):
                 owner_id = found.owner.server_id
         limiter = self._parts.limiter
-        verdict = limiter.enter(admitted.customer, request.service, request.deadline, owner_id)
+        verdict = limiter.enter(
+            admitted.customer, request.service, request.deadline, owner_id, counts_volume
+        )
         if isinstance(verdict, Refused):
             return verdict.refusal
         try:
--- a/packages/damasktide/src/damasktide/limits/limiter.py
+++ b/packages/damasktide/src/damasktide/limits/limiter.py
@@ -36,13 +36,18 @@
             detail = f"no target of {entry.service} is known"
             yield Refused(entry.ticket, Refusal(RefusalCode.NO_TARGET, detail))
             return
-        wait_s = self.rates.take(now, entry.customer)
-        if wait_s:
-            yield Refused(entry.ticket, _volume_exceeded(wait_s))
+        refusal = self.take_volume(now, entry.customer) if entry.counts_volume else None
+        if refusal is not None:
+            yield Refused(entry.ticket, refusal)
             return
         self._entry_by_ticket[entry.ticket] = entry
         yield from self._seen(now, limiter.enter(now, entry))
 
+    def take_volume(self, now: float, customer: str) -> Refusal | None:
+        """Count a request against the customer's volume, or return why it is refused."""
+        wait_s = self.rates.take(now, customer)
+        return _volume_exceeded(wait_s) if wait_s else None
+
     def place(self, ticket: int, server_id: str) -> None:
         """Note the target of an admitted request."""
         entry = self._entry_by_ticket.get(ticket)
@@ -69,7 +74,7 @@
 
     def _refund(self, now: float, ticket: int) -> None:
         entry = self._entry_by_ticket.pop(ticket, None)
-        if entry is not None:
+        if entry is not None and entry.counts_volume:
             self.rates.refund(now, entry.customer)
 
 
--- a/packages/damasktide/src/damasktide/limits/messages.py
+++ b/packages/damasktide/src/damasktide/limits/messages.py
@@ -25,6 +25,9 @@
         Monotonic time in seconds at which the caller stops waiting.
     owner
         Owner of the key, or None for unkeyed work.
+    counts_volume
+        Whether it counts against the customer's volume here; a request that another instance
+        forwards has been counted there.
     """
 
     ticket: int
@@ -32,6 +35,7 @@
     service: str
     deadline: float
     owner: str | None = None
+    counts_volume: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,20 @@
 Verdict = Admitted | Refused
 
 
+@dataclass(frozen=True, slots=True)
+class TakeVolume:
+    """Counts a request that is forwarded to a peer; the reply is a refusal or None."""
+
+    customer: str
+
+
+@dataclass(frozen=True, slots=True)
+class RefundVolume:
+    """Gives back the volume of a forwarded request that did not run."""
+
+    customer: str
+
+
 @dataclass(frozen=True, slots=True)
 class Enter:
     """Asks for entry; ``reply`` gets a :class:`Verdict`, at the deadline at the latest."""
--- a/packages/damasktide/src/damasktide/limits/task.py
+++ b/packages/damasktide/src/damasktide/limits/task.py
@@ -6,6 +6,7 @@
 
 from gevent.event import AsyncResult
 
+from damasktide.admission.refusals import Refusal
 from damasktide.balancing.targets import Target
 from damasktide.limits.limiter import Limiter
 from damasktide.limits.members import SharingView
@@ -17,7 +18,9 @@
     Leave,
     MembersChanged,
     Placed,
+    RefundVolume,
     ServiceTargetsChanged,
+    TakeVolume,
     Verdict,
     VolumesChanged,
 )
@@ -80,7 +83,12 @@
         self._tickets = count(1)
 
     def enter(
-        self, customer: str, service: str, deadline: float, owner: str | None = None
+        self,
+        customer: str,
+        service: str,
+        deadline: float,
+        owner: str | None = None,
+        counts_volume: bool = True,
     ) -> Verdict:
         """Wait in the caller's greenlet until the request may run or is refused.
 
@@ -92,8 +100,10 @@
             Monotonic time in seconds.
         owner
             Owner of the key, or None for unkeyed work.
+        counts_volume
+            Whether the request counts against the customer's volume here.
         """
-        entry = Entry(next(self._tickets), customer, service, deadline, owner)
+        entry = Entry(next(self._tickets), customer, service, deadline, owner, counts_volume)
         reply = AsyncResult()
         self.tell(Enter(entry, reply))
         try:
@@ -120,6 +130,14 @@
         self._reply_by_ticket[message.entry.ticket] = message.reply
         self._answer(self._limiter.enter(self._clock.now(), message.entry))
 
+    @handles(TakeVolume)
+    def _take_volume(self, message: TakeVolume) -> Refusal | None:
+        return self._limiter.take_volume(self._clock.now(), message.customer)
+
+    @handles(RefundVolume)
+    def _refund_volume(self, message: RefundVolume) -> None:
+        self._limiter.rates.refund(self._clock.now(), message.customer)
+
     @handles(Placed)
     def _place(self, message: Placed) -> None:
         self._limiter.place(message.ticket, message.server_id)
--- a/packages/damasktide/src/damasktide/limits/tests/test_limiter.py
+++ b/packages/damasktide/src/damasktide/limits/tests/test_limiter.py
@@ -174,6 +174,19 @@
         self.assertEqual(codes(list(limiter.enter(0.0, keyed))), [RefusalCode.OVERLOADED])
         self.assertEqual(codes(list(limiter.enter(0.0, Entry(2, "c", "desk", 9.0)))), [None])
 
+    def test_forwarded_request_counts_only_where_it_was_received(self) -> None:
+        """Guards against a customer with one key that gets only one instance's part."""
+        limiter = Limiter(RateLimiter(1.0))
+        limiter.rates.set_rates(0.0, {"c": 1.0})
+        list(limiter.set_capacity(0.0, CapacityChanged("desk", 3, {"s0": 3})))
+        for ticket in (1, 2):
+            entry = Entry(ticket, "c", "desk", 9.0, counts_volume=False)
+            self.assertEqual(codes(list(limiter.enter(0.0, entry))), [None])
+        self.assertIsNone(limiter.take_volume(0.0, "c"))
+        refusal = limiter.take_volume(0.0, "c")
+        assert refusal is not None
+        self.assertEqual(refusal.code, RefusalCode.VOLUME_EXCEEDED)
+
 
 class LimiterTaskTest(unittest.TestCase):
     def test_requests_and_shares_go_through_the_task(self) -> None:
