Let timeouts of callers pass through peer calls

Cause: a gevent timeout set around a call was taken for the client's own while it looked for a link, so that the caller ran on past its deadline. Ruled out: a lock instead of a message to the client (state shared between greenlets). Change: the client only keeps a timeout that fires after its own deadline. It also reports its own failure like the other tasks.

--- a/packages/damasktide/src/damasktide/peering/client.py
+++ b/packages/damasktide/src/damasktide/peering/client.py
@@ -1,6 +1,7 @@
 """Calls to other instances; one link per peer, opened on demand."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -19,7 +20,7 @@
 from damasktide.peering.links import PeerLink
 from damasktide.peering.stream import LinkError, PeerStream
 from damasktide.runtime.clock import Clock, MonotonicClock
-from damasktide.runtime.task import Task, every, handles
+from damasktide.runtime.task import Task, TaskFailed, every, handles
 
 CONNECT_TIMEOUT_S = 1.0
 LINK_IDLE_S = 30.0
@@ -161,10 +162,18 @@
         Key that all instances share.
     clock
         Clock for the idle time of links.
+    on_failure
+        Called if the client's greenlet ends with an error.
     """
 
-    def __init__(self, own_id: str, key: bytes, clock: Clock | None = None) -> None:
-        super().__init__("peer client")
+    def __init__(
+        self,
+        own_id: str,
+        key: bytes,
+        clock: Clock | None = None,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("peer client", on_failure)
         self._own_id = own_id
         self._key = key
         self._clock = clock or MonotonicClock()
@@ -197,6 +206,8 @@
         try:
             link: ClientLink = self.ask(LinkWanted((host, port)), timeout_s)
         except gevent.Timeout:
+            if time.monotonic() < deadline:
+                raise  # This is a timeout of the caller.
             return Failure(PeerError(True, "the client did not find a link in time"))
         return link.call(kind, body, max(0.0, deadline - time.monotonic()))
 
--- a/packages/damasktide/src/damasktide/peering/tests/test_links.py
+++ b/packages/damasktide/src/damasktide/peering/tests/test_links.py
@@ -125,6 +125,12 @@
         ]
         self.assertEqual([result.failure().not_sent for result in results], [True] * 3)
 
+    def test_a_timeout_around_a_call_ends_it(self) -> None:
+        """Guards against a request handler that outlives its deadline in a call."""
+        silent = self.serve_raw(lambda _sock, _address: gevent.sleep(5))
+        with self.assertRaises(gevent.Timeout), gevent.Timeout(0.05):
+            self.client.call(*silent, "who", b"", 5.0)
+
     def test_a_stranger_gets_no_link(self) -> None:
         """Guards against calls from a process without the shared key."""
         stranger = PeerClient("ondo-a-1#1", b"another key")
