--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/damasktide packages/damasktidectl packages/damasktide-standins
 SOURCES := packages tooling
 
-.PHONY: demo test lint format types setup clean
+.PHONY: demo test lint format types setup clean fault-matrix measure
 
 setup: $(READY)
 
@@ -20,6 +20,13 @@
 test: $(READY)
 	$(PYTHON) tooling/run_tests.py
 
+fault-matrix: $(READY)
+	$(PYTHON) -m damasktide_standins.ownership_world.matrix
+	$(PYTHON) -m damasktide_standins.process_faults
+
+measure: $(READY)
+	$(PYTHON) -m damasktide_standins.measure --output build/measure
+
 format: $(READY)
 	$(VENV)/bin/ruff format $(SOURCES)
 	$(VENV)/bin/ruff check --fix $(SOURCES)
