Measure the cost of pure parts as functions of their size

Cause: docs/CAPACITY.md needs slopes of maps, grants, ticks, plans, membership and gatekeeper records. Ruled out: totals of a running instance alone, as they do not show which part grows.

--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures a local deployment and the cost of its parts."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/slopes/worlds.py
@@ -0,0 +1,125 @@
+"""Builds maps, servers and instances of a chosen size."""
+
+import json
+from collections.abc import Iterator
+
+from damasktide.balancing.targets import Target
+from damasktide.membership.instances import Instance
+from damasktide.ownership.constants import GRANT_TTL_S, MAX_CONFIRMERS_PER_DOMAIN
+from damasktide.ownership.effects import ConfirmReply, SendGrant, ServerReply
+from damasktide.ownership.service_ownership import OwnershipSettings, ServiceOwnership
+from damasktide.ownership.shard_map import OwnerServer, ShardMap, with_confirmers
+from damasktide.ownership.shards import ShardSpace
+from damasktide.ownership.surroundings import Surroundings
+
+REGIONS = ("ondo", "oyo")
+REGION_BY_DOMAIN = {f"{region}-{letter}": region for region in REGIONS for letter in "abc"}
+DOMAINS = tuple(REGION_BY_DOMAIN)
+SERVICE = "batch-desk"
+
+
+def make_servers(count: int) -> tuple[OwnerServer, ...]:
+    """Return backend servers spread over the failure domains."""
+    return tuple(_server(number) for number in range(count))
+
+
+def make_instances(count: int) -> tuple[Instance, ...]:
+    """Return instances spread over the failure domains."""
+    return tuple(_instance(number) for number in range(count))
+
+
+def make_map(shards: int, servers: int = 25, instances: int = 9) -> ShardMap:
+    """Return a map in which the servers own equal parts."""
+    owners = tuple(shard % servers for shard in range(shards))
+    empty = ShardMap(SERVICE, 1, make_servers(servers), owners)
+    ids_by_domain = {
+        domain: tuple(i.instance_id for i in make_instances(instances) if i.domain == domain)[
+            :MAX_CONFIRMERS_PER_DOMAIN
+        ]
+        for domain in DOMAINS
+    }
+    return with_confirmers(empty, ids_by_domain, REGION_BY_DOMAIN)
+
+
+def make_targets(servers: tuple[OwnerServer, ...]) -> tuple[Target, ...]:
+    """Return the entries of the live list for the servers."""
+    return tuple(Target(s.server_id, SERVICE, s.domain, s.region, s.host, s.port) for s in servers)
+
+
+def grant_body(effect: SendGrant) -> bytes:
+    """Return the body that carries a grant to its backend server."""
+    body = {
+        "service": SERVICE,
+        "version": effect.version,
+        "shards": effect.shards,
+        "term": effect.term,
+        "basis_ms": effect.basis_ms,
+        "ttl_ms": int(GRANT_TTL_S * 1000),
+    }
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+class SteadyOwnership:
+    """Ownership decisions of one instance whose peers and servers all answer.
+
+    Parameters
+    ----------
+    servers, instances, shards
+        Sizes.
+    """
+
+    def __init__(self, servers: int, instances: int, shards: int) -> None:
+        self._now = 0.0
+        self._map = make_map(shards, servers, instances)
+        alive = make_instances(instances)
+        own = alive[0]
+        settings = OwnershipSettings(
+            own.instance_id,
+            own.domain,
+            own.region,
+            SERVICE,
+            ShardSpace(shards, REGIONS),
+            "yield",
+            REGION_BY_DOMAIN,
+        )
+        self.decisions = ServiceOwnership(settings)
+        targets = make_targets(self._map.servers)
+        self.decisions.update_surroundings(Surroundings(alive, targets))
+        for _ in range(20):
+            self.tick()
+
+    def tick(self) -> tuple[object, ...]:
+        """Run one tick with the answers to everything that it asks; return the effects."""
+        self._now += 0.15
+        now = self._now
+        self.decisions.on_table_read(self._map, now - 0.01, now)
+        effects = tuple(self.decisions.on_tick(now))
+        for effect in effects:
+            if hasattr(effect, "server"):
+                server_id = effect.server.server_id
+                reply = ServerReply(True, "boot", "boot/1", int(now * 1000), 2, 0)
+                self.decisions.on_server_reply(server_id, reply, now)
+        return effects
+
+    def grants(self) -> Iterator[SendGrant]:
+        """Yield the grants of one tick."""
+        return (effect for effect in self.tick() if isinstance(effect, SendGrant))
+
+
+def confirm_reply(servers: int) -> ConfirmReply:
+    """Return a reply that names the servers that a renewer reached."""
+    ages = tuple((server.server_id, 0.1) for server in make_servers(servers))
+    return ConfirmReply(_instance(0).instance_id, 2, 0.1, ages)
+
+
+def _server(number: int) -> OwnerServer:
+    domain = DOMAINS[number % len(DOMAINS)]
+    host = f"10.1.{number // 250}.{number % 250 + 1}"
+    return OwnerServer(f"{SERVICE}-{domain}-{number}", domain, REGION_BY_DOMAIN[domain], host, 80)
+
+
+def _instance(number: int) -> Instance:
+    domain = DOMAINS[number % len(DOMAINS)]
+    host = f"10.0.{number // 250}.{number % 250 + 1}"
+    name = f"{domain}-{number}#{number:08x}"
+    return Instance(name, domain, REGION_BY_DOMAIN[domain], host, 7946, 7947)
