--- a/packages/damasktide-standins/src/damasktide_standins/ownership_world/instance.py
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/instance.py
@@ -15,13 +15,14 @@
     QueryServer,
     ReadMap,
     SendGrant,
+    ServerReply,
     WriteMap,
 )
 from damasktide.ownership.service_ownership import OwnershipSettings, ServiceOwnership
 from damasktide.ownership.shard_map import ShardMap
 from damasktide.ownership.surroundings import Surroundings
 from damasktide.runtime.registry import Registry
-from damasktide_standins.ownership_world.events import EventQueue
+from damasktide_standins.ownership_world.events import Action, EventQueue
 from damasktide_standins.ownership_world.history import Attempt, Outcome
 from damasktide_standins.ownership_world.moments import Moment, MomentKind, Observer
 from damasktide_standins.ownership_world.network import Network
@@ -101,7 +102,16 @@
                 max_deadline_s=settings.max_deadline_s,
             )
         )
-        self.after(self.random.uniform(0, RENEW_INTERVAL_S), self._tick)
+        self._tick_number = 0
+        self._tick_at = float("inf")
+        self._plan_tick(self.random.uniform(0, RENEW_INTERVAL_S))
+
+    def take(self, event: Action) -> None:
+        """Let the decisions take an event, which may bring the next tick forward."""
+        event()
+        wait_s = self.ownership.next_tick_at() - self.clock()
+        if self.queue.now + wait_s < self._tick_at:
+            self._plan_tick(max(wait_s, 0.0))
 
     def next_change_id(self) -> str:
         """Return an id that no other change has."""
@@ -126,9 +136,19 @@
 
         network.send(self, server, lambda: server.handle(shard, attempt, reply))
 
-    def _tick(self) -> None:
-        self.after(RENEW_INTERVAL_S + self.random.uniform(0, TICK_JITTER_S), self._tick)
+    def _plan_tick(self, wait_s: float) -> None:
+        """Replace the planned tick by one after ``wait_s`` seconds."""
+        self._tick_number += 1
+        self._tick_at = self.queue.now + wait_s
+        self.after(
+            wait_s + self.random.uniform(0, TICK_JITTER_S), partial(self._tick, self._tick_number)
+        )
+
+    def _tick(self, number: int) -> None:
+        if number != self._tick_number:
+            return
         self.run_decisions()
+        self._plan_tick(max(self.ownership.next_tick_at() - self.clock(), 0.0))
 
     def run_decisions(self) -> None:
         """Let the decisions act and carry out what they ask for."""
@@ -159,7 +179,9 @@
 
     def answer(row: ShardMap | None, _: str) -> None:
         network.send(
-            table, node, lambda: node.ownership.on_table_read(row, asked_at, node.clock())
+            table,
+            node,
+            lambda: node.take(lambda: node.ownership.on_table_read(row, asked_at, node.clock())),
         )
 
     network.send(node, table, lambda: table.read(answer))
@@ -176,7 +198,7 @@
         if is_open:
             is_open = False
             result = effect.shard_map if written else None
-            node.ownership.on_write_result(result, node.clock())
+            node.take(lambda: node.ownership.on_write_result(result, node.clock()))
 
     def read_back() -> None:
         if is_open:
@@ -208,7 +230,11 @@
 
     def ask() -> None:
         reply = peer.ownership.on_confirm_request(peer.clock())
-        network.send(peer, node, lambda: node.ownership.on_confirm_reply(reply, asked_at))
+        network.send(
+            peer,
+            node,
+            lambda: node.take(lambda: node.ownership.on_confirm_reply(reply, asked_at)),
+        )
 
     network.send(node, peer, ask)
 
@@ -221,11 +247,16 @@
         return
 
     def ask() -> None:
+        peer.take(adopt)
+
+    def adopt() -> None:
         version = peer.ownership.on_adopt_request(effect.shard_map, peer.clock())
         network.send(
             peer,
             node,
-            lambda: node.ownership.on_adopt_reply(effect.instance_id, version, node.clock()),
+            lambda: node.take(
+                lambda: node.ownership.on_adopt_reply(effect.instance_id, version, node.clock())
+            ),
         )
 
     network.send(node, peer, ask)
@@ -234,33 +265,19 @@
 @_handlers.register(QueryServer)
 def _query_server(node: InstanceNode, effect: QueryServer) -> None:
     server = node.directory.server(effect.server.server_id)
-    network = node.directory.network
-    network.send(
-        node,
-        server,
-        lambda: server.query(
-            lambda reply: network.send(
-                server,
-                node,
-                lambda: node.ownership.on_server_reply(server.name, reply, node.clock()),
-            )
-        ),
-    )
+    answer = partial(_send_reply, node, server)
+    node.directory.network.send(node, server, lambda: server.query(answer))
 
 
 @_handlers.register(SendGrant)
 def _send_grant(node: InstanceNode, effect: SendGrant) -> None:
     server = node.directory.server(effect.server.server_id)
-    network = node.directory.network
-    network.send(
-        node,
-        server,
-        lambda: server.grant(
-            effect,
-            lambda reply: network.send(
-                server,
-                node,
-                lambda: node.ownership.on_server_reply(server.name, reply, node.clock()),
-            ),
-        ),
-    )
+    answer = partial(_send_reply, node, server)
+    node.directory.network.send(node, server, lambda: server.grant(effect, answer))
+
+
+def _send_reply(node: InstanceNode, server: ServerNode, reply: ServerReply) -> None:
+    def arrive() -> None:
+        node.take(lambda: node.ownership.on_server_reply(server.name, reply, node.clock()))
+
+    node.directory.network.send(server, node, arrive)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/announcements.py
@@ -0,0 +1,33 @@
+"""After a write of the map, tells the instances that have to act on it at once."""
+
+from collections.abc import Iterator
+
+from damasktide.ownership.roles import Roles
+from damasktide.ownership.shard_map import OwnerServer, ShardMap
+
+
+class Announcements:
+    """Remembers which change still has to be announced by the instance that wrote it."""
+
+    def __init__(self) -> None:
+        self._before: ShardMap | None = None
+
+    def record_write(self, before: ShardMap | None) -> None:
+        """Record that this instance replaced the map ``before``."""
+        self._before = before
+
+    def recipients(self, shard_map: ShardMap, roles: Roles) -> Iterator[str]:
+        """Yield once the renewers of each server that may own other shards than before."""
+        before, self._before = self._before, None
+        if before is None:
+            return
+        for server in _changed_servers(before, shard_map):
+            yield from roles.renewers(server, shard_map.confirmers)
+
+
+def _changed_servers(before: ShardMap, after: ShardMap) -> Iterator[OwnerServer]:
+    old = before.granted_shards_by_server()
+    new = after.granted_shards_by_server()
+    for server in after.servers:
+        if old.get(server.server_id, ()) != new[server.server_id]:
+            yield server
--- a/packages/damasktide/src/damasktide/ownership/authority.py
+++ b/packages/damasktide/src/damasktide/ownership/authority.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from damasktide.ownership.constants import NEWS_STALE_AFTER_S
+from damasktide.ownership.constants import NEWS_STALE_AFTER_S, PROPOSE_NEWS_MAX_AGE_S
 from damasktide.ownership.rights import NEVER, Confirmation, RightTracker
 from damasktide.ownership.shard_map import ConfirmerSet
 
@@ -31,9 +31,17 @@
         return self._table_news_at
 
     def is_stale(self, now: float) -> bool:
-        """Return whether the table news is too old for changes of the map."""
+        """Return whether the table news is too old to rely on the table alone."""
         return now - self._table_news_at > NEWS_STALE_AFTER_S
 
+    def may_propose(self, now: float) -> bool:
+        """Return whether the table news is fresh enough for a change of the map."""
+        return now - self._table_news_at <= PROPOSE_NEWS_MAX_AGE_S
+
+    def has_right(self, confirmers: ConfirmerSet, at: float) -> bool:
+        """Return whether there is a right for each renewed failure domain at the time ``at``."""
+        return all(right.valid_until(confirmers) > at for right in self._right_by_domain.values())
+
     def adopt(self, version: int) -> None:
         """Start over for a newer map version."""
         self._version = version
--- a/packages/damasktide/src/damasktide/ownership/contacts.py
+++ b/packages/damasktide/src/damasktide/ownership/contacts.py
@@ -1,5 +1,6 @@
 """What this instance knows of each backend server from its own exchanges."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from damasktide.ownership.constants import SUSPECT_AFTER_S
@@ -40,10 +41,6 @@
     accepted_version: int = 0
     draining: int = 0
 
-    def is_suspect(self, now: float) -> bool:
-        """Return whether the server has not been reached for the suspicion time."""
-        return now - max(self.watched_since, self.reached_at) > SUSPECT_AFTER_S
-
     def may_be_granted(self, table_news_at: float) -> bool:
         """Return whether a right suffices for a grant, given the time of the table news.
 
@@ -68,13 +65,31 @@
         """Return the contact of a server, or None if it is not watched."""
         return self._contact_by_id.get(server_id)
 
-    def watch(self, server_ids: frozenset[str], now: float) -> None:
-        """Watch exactly these servers."""
+    def watch(self, since_by_id: Mapping[str, float]) -> None:
+        """Watch exactly these servers; new ones count as silent since the given times."""
         self._contact_by_id = {
-            server_id: self._contact_by_id.get(server_id, Contact(watched_since=now))
-            for server_id in server_ids
+            server_id: self._contact_by_id.get(server_id, Contact(watched_since=since))
+            for server_id, since in since_by_id.items()
         }
 
+    def watched_ids(self) -> frozenset[str]:
+        """Return the ids of the watched servers."""
+        return frozenset(self._contact_by_id)
+
+    def is_suspect(self, server_id: str, now: float) -> bool:
+        """Return whether a watched server has not been reached for the suspicion time."""
+        return server_id in self._contact_by_id and now > self.suspect_at(server_id)
+
+    def is_unseen(self, server_id: str, now: float) -> bool:
+        """Return whether a server has not been reached for half of the suspicion time."""
+        contact = self._contact_by_id.get(server_id)
+        return contact is None or now - contact.reached_at >= SUSPECT_AFTER_S / 2
+
+    def suspect_at(self, server_id: str) -> float:
+        """Return the time from which a watched server is suspect if it does not respond."""
+        contact = self._contact_by_id[server_id]
+        return max(contact.watched_since, contact.reached_at) + SUSPECT_AFTER_S
+
     def restart_watch(self, now: float) -> None:
         """Start all suspicion times again, after this process was paused."""
         self._contact_by_id = {
--- a/packages/damasktide/src/damasktide/ownership/moves.py
+++ b/packages/damasktide/src/damasktide/ownership/moves.py
@@ -97,6 +97,11 @@
             move.shard: self._proof_of(shard_map, move).complete_at() for move in shard_map.pending
         }
 
+    def next_completion(self, shard_map: ShardMap, after: float) -> float:
+        """Return the time of the first silence proof that completes later than ``after``."""
+        times = self.complete_at_by_shard(shard_map, after).values()
+        return min((time for time in times if time > after), default=float("inf"))
+
     def _new_proof(
         self, key: _ProofKey, sets: tuple[ConfirmerSet, ...], now: float
     ) -> SilenceProof:
--- a/packages/damasktide/src/damasktide/ownership/placement.py
+++ b/packages/damasktide/src/damasktide/ownership/placement.py
@@ -27,6 +27,8 @@
 # A confirmer must be missing or present this long before the set changes.
 CONFIRMER_CHANGE_AFTER_S = 2.0
 
+_DRAIN_CAUSES = frozenset({MoveCause.LEAVING, MoveCause.DOMAIN_OUT})
+
 
 class Placement:
     """Computes proposals for one service.
@@ -87,17 +89,12 @@
     def lost_server_moves(
         self,
         shard_map: ShardMap,
-        controlled: Set[str],
+        lost: Set[str],
         contacts: Contacts,
         surroundings: Surroundings,
         now: float,
     ) -> ShardMap | None:
         """Return the map in which the shards of lost servers move, or None."""
-        lost = {
-            server_id
-            for server_id in controlled
-            if (contact := contacts.get(server_id)) is not None and contact.is_suspect(now)
-        }
         if not lost:
             return None
         usable_by_id = self._safe_new_owners(shard_map, contacts, surroundings, lost, now)
@@ -111,10 +108,11 @@
     ) -> ShardMap | None:
         """Return the map with the next batch of planned moves, or None.
 
-        Moves from lost servers may stay pending for ``HOLD_LIMIT_S``, so they do not hold up
-        planned ones.
+        Moves from lost servers may stay pending for ``HOLD_LIMIT_S``. Meanwhile servers still
+        drain, but no shard moves for balance, as the lost servers may return.
         """
-        is_planned_pending = any(m.cause is not MoveCause.LOST for m in shard_map.pending)
+        pending_causes = {move.cause for move in shard_map.pending}
+        is_planned_pending = bool(pending_causes - {MoveCause.LOST})
         if now - self._last_plan_at < PLAN_INTERVAL_S or is_planned_pending:
             return None
         cause_by_id = _unusable_causes(surroundings)
@@ -124,6 +122,8 @@
             if _owns_shards(shard_map, server_id) or _has_joined(contacts, server_id, now)
         }
         plan = plan_moves(shard_map, self._space, Candidates(usable_by_id, cause_by_id))
+        if pending_causes:
+            plan = tuple(move for move in plan if move.cause in _DRAIN_CAUSES)
         if not plan:
             return None
         self._last_plan_at = now
@@ -172,7 +172,7 @@
             and server_id not in moving_ids
             and server.domain in live_domains
             and (_owns_shards(shard_map, server_id) or _has_joined(contacts, server_id, now))
-            and not _is_suspect(contacts, server_id, now)
+            and not contacts.is_suspect(server_id, now)
         }
 
 
@@ -204,11 +204,6 @@
     )
 
 
-def _is_suspect(contacts: Contacts, server_id: str, now: float) -> bool:
-    contact = contacts.get(server_id)
-    return contact is not None and contact.is_suspect(now)
-
-
 def _owner_server(target: Target) -> OwnerServer:
     return OwnerServer(target.server_id, target.domain, target.region, target.host, target.port)
 
--- a/packages/damasktide/src/damasktide/ownership/proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/proposals.py
@@ -27,6 +27,12 @@
         What other tasks have published.
     now
         Monotonic time.
+    quiet_domain, quiet_since
+        Guarded failure domain whose instances do not reply, and since when, or None.
+    guarded_ids
+        Instances of the guarded failure domain to be asked whether they are alive.
+    is_quiet_domain_lost
+        Whether the quiet failure domain is taken for lost.
     """
 
     shard_map: ShardMap
@@ -34,6 +40,10 @@
     controlled: Set[str]
     surroundings: Surroundings
     now: float
+    quiet_domain: str | None = None
+    quiet_since: float = 0.0
+    guarded_ids: tuple[str, ...] = ()
+    is_quiet_domain_lost: bool = False
 
 
 class Proposals:
@@ -54,6 +64,25 @@
         """Return the next version that this instance wants, or None."""
         return next((proposed for proposed in self._by_urgency(view) if proposed), None)
 
+    def _lost_ids(self, view: View) -> frozenset[str]:
+        """Return the controlled servers that are taken for lost.
+
+        The servers of a lost failure domain were last reached at slightly different times; they
+        are moved in one batch as soon as the first one is suspect, so that their waits coincide.
+        """
+        suspect = {one for one in view.controlled if self._contacts.is_suspect(one, view.now)}
+        domain_by_id = {server.server_id: server.domain for server in view.shard_map.servers}
+        if not view.is_quiet_domain_lost or view.quiet_domain not in map(
+            domain_by_id.get, suspect
+        ):
+            return frozenset(suspect)
+        unseen = {
+            one
+            for one in view.controlled
+            if domain_by_id[one] == view.quiet_domain and self._contacts.is_unseen(one, view.now)
+        }
+        return frozenset(suspect | unseen)
+
     def _by_urgency(self, view: View) -> Iterator[ShardMap | None]:
         shard_map, now = view.shard_map, view.now
         # Before completion: a server that returns accepts its fence at once, and its shards
@@ -63,7 +92,7 @@
         )
         yield self._moves.completed(shard_map, view.controlled, self._contacts, now)
         yield self._placement.lost_server_moves(
-            shard_map, view.controlled, self._contacts, view.surroundings, now
+            shard_map, self._lost_ids(view), self._contacts, view.surroundings, now
         )
         if view.roles.is_confirmer_manager():
             yield self._placement.changed_confirmers(shard_map, view.surroundings, now)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/renewals.py
@@ -0,0 +1,78 @@
+"""Which servers this instance renews or probes, and the grants that it may send."""
+
+from collections.abc import Iterator
+
+from damasktide.ownership.authority import Authority
+from damasktide.ownership.contacts import Contact, Contacts
+from damasktide.ownership.effects import Effect, QueryServer, SendGrant
+from damasktide.ownership.placement import Placement
+from damasktide.ownership.proposals import View
+from damasktide.ownership.shard_map import OwnerServer
+
+
+class Renewals:
+    """Renewals of one instance for one service.
+
+    Parameters
+    ----------
+    placement, contacts, authority
+        Decisions and knowledge on which the renewals rest.
+    """
+
+    def __init__(self, placement: Placement, contacts: Contacts, authority: Authority) -> None:
+        self._placement = placement
+        self._contacts = contacts
+        self._authority = authority
+
+    def watch(self, view: View) -> None:
+        """Watch exactly the servers that this instance renews or probes."""
+        since_by_id = {
+            server.server_id: view.quiet_since if server.domain == view.quiet_domain else view.now
+            for server, _ in self._servers(view)
+        }
+        self._contacts.watch(since_by_id)
+
+    def backup_renewers(self, view: View) -> set[str]:
+        """Return peers that may still reach a server that this instance has lost sight of."""
+        return {
+            instance_id
+            for server, renewers in self._servers(view)
+            for instance_id in renewers
+            if self._contacts.is_unseen(server.server_id, view.now)
+        }
+
+    def effects(self, view: View) -> Iterator[Effect]:
+        """Yield a grant or a query for each server."""
+        shards_by_server = view.shard_map.granted_shards_by_server()
+        for server, _ in self._servers(view):
+            contact = self._contacts.get(server.server_id)
+            if contact is None or not contact.term or not self._may_grant(server, contact, view):
+                yield QueryServer(server)
+                continue
+            yield SendGrant(
+                server=server,
+                version=view.shard_map.version,
+                shards=shards_by_server.get(server.server_id, ()),
+                term=contact.term,
+                basis_ms=contact.basis_ms,
+            )
+
+    def _servers(self, view: View) -> Iterator[tuple[OwnerServer, list[str]]]:
+        """Yield the servers that this instance renews or probes, with all their renewers."""
+        confirmers = view.shard_map.confirmers
+        roles = view.roles
+        servers = self._placement.known_servers(view.shard_map, view.surroundings.targets)
+        for server in servers:
+            renewers = roles.renewers(server, confirmers)
+            is_quiet = server.domain == view.quiet_domain
+            if roles.instance_id in renewers or is_quiet or self._probes(server, view):
+                yield server, renewers
+
+    def _probes(self, server: OwnerServer, view: View) -> bool:
+        """Return whether this instance plans joins and the server owns nothing yet."""
+        owner_ids = {owner.server_id for owner in view.shard_map.servers}
+        return view.roles.is_placer() and server.server_id not in owner_ids
+
+    def _may_grant(self, server: OwnerServer, contact: Contact, view: View) -> bool:
+        right_until = self._authority.valid_until(server.domain, view.shard_map.confirmers)
+        return right_until > view.now and contact.may_be_granted(self._authority.table_news_at)
--- a/packages/damasktide/src/damasktide/ownership/roles.py
+++ b/packages/damasktide/src/damasktide/ownership/roles.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from hashlib import blake2b
 
 from damasktide.membership.instances import Instance
@@ -13,6 +13,8 @@
 
 READERS_PER_DOMAIN = 2
 RENEWERS_PER_SERVER = 2
+GUARDS_PER_DOMAIN = 2
+SAMPLE_PER_DOMAIN = 5
 
 
 def rendezvous(key: str, candidate_ids: Iterable[str]) -> list[str]:
@@ -58,6 +60,31 @@
         ids = self._ids_in(self.domain)
         return rendezvous(f"confirmers/{self.service}", ids)[:1] == [self.instance_id]
 
+    def guarded_domain(self, confirmers: ConfirmerSet) -> str | None:
+        """Return the failure domain that this instance guards, or None.
+
+        Two instances of the witness domain watch a failure domain, so that its loss is noticed
+        within the suspicion time of its servers.
+        """
+        guards = rendezvous(f"guard/{self.service}", self._ids_in(self.domain))
+        if self.instance_id not in guards[:GUARDS_PER_DOMAIN]:
+            return None
+        domains = confirmers.region_by_domain
+        return next((name for name in domains if confirmers.witness_of(name) == self.domain), None)
+
+    def sample_of(self, domain: str) -> list[str]:
+        """Return the instances of ``domain`` whose replies show that it is alive."""
+        return rendezvous(f"sample/{self.service}", self._ids_in(domain))[:SAMPLE_PER_DOMAIN]
+
+    def neighbour(self, turn: int) -> list[str]:
+        """Return another instance of this failure domain, a different one each turn."""
+        ids = sorted(set(self._ids_in(self.domain)) - {self.instance_id})
+        return [ids[turn % len(ids)]] if ids else []
+
+    def without(self, domain: str) -> "Roles":
+        """Return the duties as if no instance of ``domain`` were alive."""
+        return replace(self, alive=[one for one in self.alive if one.domain != domain])
+
     def renewers(self, server: OwnerServer, confirmers: ConfirmerSet) -> list[str]:
         """Return the instances that renew ``server``; the first one controls its moves.
 
@@ -71,6 +98,10 @@
             ids = [instance.instance_id for instance in self.alive]
         return rendezvous(f"server/{server.server_id}", ids)[:RENEWERS_PER_SERVER]
 
+    def controls(self, server: OwnerServer, confirmers: ConfirmerSet) -> bool:
+        """Return whether this instance controls the moves of ``server``."""
+        return self.renewers(server, confirmers)[:1] == [self.instance_id]
+
     def has_instances(self, domain: str) -> bool:
         """Return whether any instance of ``domain`` is believed to be alive."""
         return any(instance.domain == domain for instance in self.alive)
--- a/packages/damasktide/src/damasktide/ownership/service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/service_ownership.py
@@ -5,60 +5,39 @@
 """
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import replace
 
+from damasktide.ownership.announcements import Announcements
 from damasktide.ownership.authority import Authority
-from damasktide.ownership.constants import HOLD_LIMIT_S, PAUSED_AFTER_S, SUSPECT_AFTER_S
-from damasktide.ownership.contacts import Contact, Contacts
+from damasktide.ownership.constants import (
+    CLOCK_STEP_S,
+    HOLD_LIMIT_S,
+    MIN_TICK_GAP_S,
+    PAUSED_AFTER_S,
+    RENEW_INTERVAL_S,
+)
+from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.effects import (
     AskAdopt,
     AskConfirm,
     ConfirmReply,
     Effect,
-    QueryServer,
     ReadMap,
-    SendGrant,
     ServerReply,
     WriteMap,
 )
+from damasktide.ownership.guarding import DomainGuard
 from damasktide.ownership.moves import MoveProgress
+from damasktide.ownership.ownership_settings import OwnershipSettings
 from damasktide.ownership.placement import Placement
 from damasktide.ownership.proposals import Proposals, View
+from damasktide.ownership.renewals import Renewals
 from damasktide.ownership.rights import NEVER
 from damasktide.ownership.roles import Roles
-from damasktide.ownership.shard_map import OwnerServer, ShardMap
-from damasktide.ownership.shards import ShardSpace
+from damasktide.ownership.shard_map import ShardMap
 from damasktide.ownership.surroundings import Surroundings
 
-
-@dataclass(frozen=True, slots=True)
-class OwnershipSettings:
-    """What the decisions need to know of the instance and the service.
-
-    Attributes
-    ----------
-    instance_id, domain, region
-        The instance and where it stands.
-    service
-        Name of the service.
-    space
-        How keys map to shards.
-    policy
-        Isolation policy, ``yield`` or ``hold``.
-    region_by_domain
-        All failure domains and their regions.
-    max_deadline_s
-        Longest request deadline where the servers do not check grants, else None.
-    """
-
-    instance_id: str
-    domain: str
-    region: str
-    service: str
-    space: ShardSpace
-    policy: str
-    region_by_domain: Mapping[str, str]
-    max_deadline_s: float | None = None
+__all__ = ["OwnershipSettings", "ServiceOwnership"]
 
 
 class ServiceOwnership:
@@ -79,9 +58,19 @@
         self._moves = MoveProgress(settings.policy, settings.max_deadline_s)
         self._placement = Placement(settings.space, settings.domain, settings.region_by_domain)
         self._proposals = Proposals(self._placement, self._moves, self._contacts)
+        self._renewals = Renewals(self._placement, self._contacts, self._authority)
+        self._guard = DomainGuard()
+        self._announcements = Announcements()
+        self._is_tick_due = False
+        self._is_right_awaited = True
+        self._controlled: frozenset[str] = frozenset()
         self._is_row_absent = False
         self._is_write_open = False
         self._write_sent_at = NEVER
+        self._is_read_due = False
+        self._propose_after = NEVER
+        self._newest_version_seen = 0
+        self._behind_ids: set[str] = set()
         self._last_tick_at = NEVER
 
     @property
@@ -103,6 +92,21 @@
         """Return for each pending shard the time at which its move completes at the latest."""
         return self._moves.complete_at_by_shard(self._map, now) if self._map else {}
 
+    def next_tick_at(self) -> float:
+        """Return the monotonic time at which the next tick is due; events may bring it forward.
+
+        A task that only ticks once per renewal interval is safe as well, but slower.
+        """
+        earliest = self._last_tick_at + MIN_TICK_GAP_S
+        if self._is_tick_due:
+            return earliest
+        times = [self._last_tick_at + RENEW_INTERVAL_S]
+        if self._map is not None:
+            times.append(self._moves.next_completion(self._map, self._last_tick_at))
+        suspect_times = (self._contacts.suspect_at(one) + CLOCK_STEP_S for one in self._controlled)
+        times.extend(time for time in suspect_times if time > self._last_tick_at)
+        return max(earliest, min(times))
+
     # Events -----------------------------------------------------------------------------
 
     def on_table_read(self, shard_map: ShardMap | None, asked_at: float, now: float) -> None:
@@ -110,12 +114,19 @@
         self._is_row_absent = shard_map is None
         if shard_map is not None:
             self._adopt(shard_map, now)
+            self._is_tick_due |= self._authority.table_news_at < self._propose_after <= asked_at
             self._authority.record_news(shard_map.version, asked_at)
+            self._note_right(asked_at)
 
     def on_write_result(self, written: ShardMap | None, now: float) -> None:
         """Take the row after a write, own or another's; None means that it is not known."""
         self._is_write_open = False
-        if written is not None:
+        self._is_tick_due = True
+        self._is_read_due = written is None
+        if written is None:
+            self._propose_after = now
+        else:
+            self._announcements.record_write(self._map)
             self._adopt(written, now)
             self._authority.record_news(written.version, self._write_sent_at)
 
@@ -141,32 +152,47 @@
 
     def on_confirm_reply(self, reply: ConfirmReply, asked_at: float) -> None:
         """Take a confirmer's reply to a request that was sent at ``asked_at``."""
+        self._guard.record_reply(reply.instance_id, asked_at)
         for server_id, age in reply.reached_age_by_server:
             self._contacts.record_peer_contact(server_id, asked_at - age)
+        if self._map is not None and reply.version < self._map.version:
+            self._behind_ids.add(reply.instance_id)
         if self._map is None or reply.version != self._map.version:
+            self._note_newer_version(reply.version)
             return
         if reply.news_age_s is not None:
             self._authority.record_news(reply.version, asked_at - reply.news_age_s)
         self._authority.record_confirmation(reply.instance_id, reply.version, asked_at)
+        self._note_right(asked_at)
 
     def on_server_reply(self, server_id: str, reply: ServerReply, now: float) -> None:
         """Take a backend server's response to a query or a grant."""
+        before = self._contacts.get(server_id)
         self._contacts.record_reply(server_id, reply, now)
+        after = self._contacts.get(server_id)
+        if before is not None and after is not None:
+            is_drained = before.draining > 0 and after.draining == 0
+            is_new = (before.term, before.accepted_version) != (after.term, after.accepted_version)
+            self._is_tick_due |= is_drained or is_new
 
     def on_tick(self, now: float) -> Iterator[Effect]:
-        """Yield what is to be done now; called once per renewal interval."""
+        """Yield what is to be done now; called when :meth:`next_tick_at` is reached."""
         if now - self._last_tick_at > PAUSED_AFTER_S:
-            # The process was paused, so missing responses say nothing about the servers.
+            # The process was paused, so missing responses say nothing about the others.
             self._contacts.restart_watch(now)
+            self._guard.restart(now)
         self._last_tick_at = now
-        roles = self._roles()
-        yield from self._news_effects(roles, now)
+        self._is_tick_due = False
         if self._map is None:
-            yield from self._creation_effects(roles, now)
+            yield from self._first_effects(self._roles(), now)
             return
-        yield from self._grant_effects(roles, now)
-        yield from self._adopt_effects(roles, now)
-        yield from self._write_effects(roles, now)
+        view = self._view(self._map, now)
+        yield from self._news_effects(view)
+        self._renewals.watch(view)
+        self._controlled = self._contacts.watched_ids() & view.controlled
+        yield from self._renewals.effects(view)
+        yield from self._adopt_effects(view)
+        yield from self._write_effects(view)
 
     def _roles(self) -> Roles:
         return Roles(
@@ -176,119 +202,106 @@
             alive=self._surroundings.alive,
         )
 
-    # Table news and confirmations -------------------------------------------------------
+    def _view(self, shard_map: ShardMap, now: float) -> View:
+        roles = self._roles()
+        guarded = roles.guarded_domain(shard_map.confirmers)
+        sample = roles.sample_of(guarded) if guarded is not None else []
+        silent = guarded if sample and self._guard.is_silent(sample, now) else None
+        if silent is not None:
+            roles = roles.without(silent)
+        controlled = frozenset(
+            server.server_id
+            for server in shard_map.servers
+            if server.domain == silent or roles.controls(server, shard_map.confirmers)
+        )
+        return View(
+            shard_map=shard_map,
+            roles=roles,
+            controlled=controlled,
+            surroundings=replace(self._surroundings, alive=tuple(roles.alive)),
+            now=now,
+            quiet_domain=guarded if sample and self._guard.is_quiet(sample, now) else None,
+            quiet_since=self._guard.silent_since(sample),
+            guarded_ids=tuple(sample),
+            is_quiet_domain_lost=silent is not None,
+        )
+
+    def _first_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
+        """Yield what is to be done before a map is adopted."""
+        yield ReadMap()
+        if self._is_write_open or not self._is_row_absent or not roles.is_placer():
+            return
+        first = self._placement.first_map(self._settings.service, self._surroundings)
+        if first is not None:
+            yield self._write(first, 0, now)
 
-    def _news_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
-        readers = roles.readers()
-        is_stale = self._authority.is_stale(now)
-        if self._settings.instance_id in readers or is_stale:
+    def _news_effects(self, view: View) -> Iterator[Effect]:
+        readers = view.roles.readers()
+        is_stale = self._authority.is_stale(view.now)
+        if self._settings.instance_id in readers or is_stale or self._is_read_due:
+            self._is_read_due = False
             yield ReadMap()
-        asked = set(readers)
-        if is_stale and self._map is not None:
-            self._authority.confirm_to_self(now)
-            asked.update(self._authority.confirmers_to_ask(self._map.confirmers))
-        asked |= self._backup_renewers(roles, now)
+        asked = {*readers, *view.guarded_ids, *self._renewals.backup_renewers(view)}
+        if is_stale:
+            self._authority.confirm_to_self(view.now)
+            asked.update(self._authority.confirmers_to_ask(view.shard_map.confirmers))
+            asked.update(view.roles.neighbour(int(view.now / RENEW_INTERVAL_S)))
         for instance_id in sorted(asked - {self._settings.instance_id}):
             yield AskConfirm(instance_id)
 
-    def _backup_renewers(self, roles: Roles, now: float) -> set[str]:
-        """Return peers that may still reach a server that this instance has lost sight of."""
-        return {
-            instance_id
-            for server, renewers in self._renewed_servers(roles)
-            for instance_id in renewers
-            if not self._is_recently_reached(server.server_id, now)
-        }
-
-    def _is_recently_reached(self, server_id: str, now: float) -> bool:
-        contact = self._contacts.get(server_id)
-        return contact is not None and now - contact.reached_at < SUSPECT_AFTER_S / 2
-
     def _adopt(self, shard_map: ShardMap, now: float) -> None:
         if self._map is not None and shard_map.version <= self._map.version:
             return
+        guarded = self._roles().guarded_domain(shard_map.confirmers)
+        if self._map is not None and guarded is not None:
+            self._guard.record_change(self._map, shard_map, guarded, now)
         self._map = shard_map
+        self._is_tick_due = True
+        self._is_right_awaited = True
         self._authority.adopt(shard_map.version)
         self._moves.on_new_map(shard_map, self._settings.instance_id, now)
 
-    # Grants -----------------------------------------------------------------------------
-
-    def _renewed_servers(self, roles: Roles) -> Iterator[tuple[OwnerServer, list[str]]]:
-        """Yield the servers that this instance renews or probes, with all their renewers."""
-        if self._map is None:
+    def _note_newer_version(self, version: int) -> None:
+        """Read the table once when a peer knows a newer version."""
+        known = self._map.version if self._map is not None else 0
+        if version > max(known, self._newest_version_seen):
+            self._newest_version_seen = version
+            self._is_read_due = True
+            self._is_tick_due = True
+
+    def _note_right(self, at: float) -> None:
+        """Ask for a tick when the rights under a new version become valid."""
+        if self._map is None or not self._is_right_awaited:
             return
-        confirmers = self._map.confirmers
-        for server in self._placement.known_servers(self._map, self._surroundings.targets):
-            renewers = roles.renewers(server, confirmers)
-            if self._settings.instance_id in renewers or self._probes(server, roles):
-                yield server, renewers
-
-    def _probes(self, server: OwnerServer, roles: Roles) -> bool:
-        """Return whether this instance plans joins and the server owns nothing yet."""
-        owner_ids = {owner.server_id for owner in self._map.servers} if self._map else set()
-        return roles.is_placer() and server.server_id not in owner_ids
-
-    def _grant_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
-        assert self._map is not None
-        servers = [server for server, _ in self._renewed_servers(roles)]
-        self._contacts.watch(frozenset(server.server_id for server in servers), now)
-        shards_by_server = self._map.granted_shards_by_server()
-        for server in servers:
-            contact = self._contacts.get(server.server_id)
-            if contact is None or not contact.term or not self._may_grant(server, contact, now):
-                yield QueryServer(server)
-                continue
-            yield SendGrant(
-                server=server,
-                version=self._map.version,
-                shards=shards_by_server.get(server.server_id, ()),
-                term=contact.term,
-                basis_ms=contact.basis_ms,
-            )
-
-    def _may_grant(self, server: OwnerServer, contact: Contact, now: float) -> bool:
-        return self.right_valid_until(server.domain) > now and contact.may_be_granted(
-            self._authority.table_news_at
-        )
-
-    # Moves ------------------------------------------------------------------------------
-
-    def _controls(self, roles: Roles, server: OwnerServer) -> bool:
-        assert self._map is not None
-        return roles.renewers(server, self._map.confirmers)[0] == self._settings.instance_id
-
-    def _controlled_ids(self, roles: Roles) -> frozenset[str]:
-        assert self._map is not None
-        return frozenset(
-            server.server_id for server in self._map.servers if self._controls(roles, server)
-        )
+        if self._authority.has_right(self._map.confirmers, at):
+            self._is_right_awaited = False
+            self._is_tick_due = True
+
+    def _adopt_effects(self, view: View) -> Iterator[Effect]:
+        asked = self._moves.missing_acks(view.shard_map, view.controlled)
+        if view.roles.is_confirmer_manager():
+            asked |= self._moves.missing_settlement_acks(view.shard_map)
+        asked.update(self._announcements.recipients(view.shard_map, view.roles))
+        if self._authority.is_stale(view.now):
+            # Without the table, a process that started late gets the map only from its peers.
+            asked |= self._behind_ids
+        self._behind_ids.clear()
+        for instance_id in sorted(asked - {self._settings.instance_id}):
+            yield AskAdopt(instance_id, view.shard_map)
 
-    def _adopt_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
-        assert self._map is not None
-        controlled = self._controlled_ids(roles)
-        missing = self._moves.missing_acks(self._map, controlled)
-        if roles.is_confirmer_manager():
-            missing |= self._moves.missing_settlement_acks(self._map)
-        for instance_id in sorted(missing - {self._settings.instance_id}):
-            yield AskAdopt(instance_id, self._map)
+    def _write_effects(self, view: View) -> Iterator[Effect]:
+        """Propose at most one change of the map; only with recent table news.
 
-    def _creation_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
-        if self._is_write_open or not self._is_row_absent or not roles.is_placer():
+        After a conflict or an error the news must be newer, so that the same proposal is not
+        repeated.
+        """
+        if self._is_write_open or not self._authority.may_propose(view.now):
             return
-        first = self._placement.first_map(self._settings.service, self._surroundings)
-        if first is not None:
-            yield self._write(first, 0, now)
-
-    def _write_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
-        """Propose at most one change of the map; only with fresh table news."""
-        assert self._map is not None
-        if self._is_write_open or self._authority.is_stale(now):
+        if self._authority.table_news_at < self._propose_after:
             return
-        controlled = self._controlled_ids(roles)
-        view = View(self._map, roles, controlled, self._surroundings, now)
         proposed = self._proposals.next_map(view)
         if proposed is not None:
-            yield self._write(proposed, self._map.version, now)
+            yield self._write(proposed, view.shard_map.version, view.now)
 
     def _write(self, shard_map: ShardMap, based_on: int, now: float) -> WriteMap:
         self._is_write_open = True
--- a/packages/damasktide/src/damasktide/ownership/tests/test_contacts.py
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_contacts.py
@@ -13,7 +13,7 @@
 class ContactsTest(unittest.TestCase):
     def contact_after(self, *replies: ServerReply) -> Contact:
         contacts = Contacts()
-        contacts.watch(frozenset({SERVER}), 0.0)
+        contacts.watch({SERVER: 0.0})
         for index, one in enumerate(replies):
             contacts.record_reply(SERVER, one, index * 0.01)
         contact = contacts.get(SERVER)
--- a/packages/damasktide/src/damasktide/ownership/tests/test_proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_proposals.py
@@ -23,7 +23,7 @@
 class ProposalsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.contacts = Contacts()
-        self.contacts.watch(frozenset({"old", "new"}), 0.0)
+        self.contacts.watch({"old": 0.0, "new": 0.0})
         self.moves = MoveProgress("yield", None)
         placement = Placement(ShardSpace(2, ("north",)), "a", REGION_BY_DOMAIN)
         self.proposals = Proposals(placement, self.moves, self.contacts)
@@ -56,7 +56,7 @@
             (instance("a1"),), (replace(target(OLD), leaving=True), target(third))
         )
         placement = Placement(ShardSpace(2, ("north",)), "a", REGION_BY_DOMAIN)
-        self.contacts.watch(frozenset({"third"}), 0.0)
+        self.contacts.watch({"third": 0.0})
         for now in (1.0, 1.3, 1.6, 1.9, 2.2):
             self.contacts.record_reply("third", reply(), now)
         planned = placement.planned_moves(pending, self.contacts, surroundings, 2.3)
