Send to servers that do not check grants only under a valid right

Cause: for unchecked services nothing tied a request to the sender's right; only the wait of a move was longer. Ruled out: a test in the router alone, which leaves more time between test and write.

--- a/packages/damasktide/src/damasktide/assembly/services.py
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -154,7 +154,16 @@
         on_version=lambda version: shared.announce(f"ownership/{service.name}", version),
         on_failure=shared.on_failure,
     )
-    route = ServiceRoute(service.name, space, snapshot, balancer, hedging, hedge_plan)
+    route = ServiceRoute(
+        service=service.name,
+        space=space,
+        owners=snapshot,
+        max_deadline_s=service.max_deadline_s,
+        grants_checked=service.grants_checked,
+        balancer=balancer,
+        hedging=hedging,
+        hedge_plan=hedge_plan,
+    )
     return ServiceTasks(service, store, ownership, balancer, route)
 
 
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -28,6 +28,10 @@
         How keys map to shards.
     owners
         Snapshot of the adopted map.
+    max_deadline_s
+        Longest deadline of a keyed request, or None.
+    grants_checked
+        Whether the backend servers check grants.
     balancer
         Task that chooses targets for unkeyed requests.
     hedging
@@ -39,6 +43,8 @@
     service: str
     space: ShardSpace
     owners: Published[OwnerSnapshot]
+    max_deadline_s: float | None
+    grants_checked: bool
     balancer: BalancerTask
     hedging: HedgingTask
     hedge_plan: Published[HedgePlan]
@@ -93,7 +99,20 @@
     if isinstance(found, Refusal):
         return found
     owner = found.owner
-    return Destination(owner.server_id, owner.host, owner.port, found.shard, found.map_version)
+    return Destination(
+        owner.server_id,
+        owner.host,
+        owner.port,
+        found.shard,
+        found.map_version,
+        send_until=_send_until(route),
+        max_call_s=route.max_deadline_s,
+    )
+
+
+def _send_until(route: ServiceRoute) -> float | None:
+    """Return when a call to the owner has to end, or None if the owner itself checks grants."""
+    return None if route.grants_checked else route.owners.value.right_until
 
 
 @destination_finders.register(False)
--- a/packages/damasktide/src/damasktide/forwarding/failures.py
+++ b/packages/damasktide/src/damasktide/forwarding/failures.py
@@ -11,6 +11,7 @@
 
     NOT_CONNECTED = "not_connected"
     NOT_OWNER = "not_owner"
+    NO_RIGHT = "no_right"
     SHED = "shed"
     TIMED_OUT = "timed_out"
     RESET = "reset"
@@ -28,8 +29,10 @@
         return self in _OWNER_CHANGES
 
 
-_NOT_RUN = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER, FailureKind.SHED})
-_OWNER_CHANGES = frozenset({FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER})
+_OWNER_CHANGES = frozenset(
+    {FailureKind.NOT_CONNECTED, FailureKind.NOT_OWNER, FailureKind.NO_RIGHT}
+)
+_NOT_RUN = _OWNER_CHANGES | {FailureKind.SHED}
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -27,6 +27,7 @@
 _OUTCOME_BY_KIND = {
     FailureKind.NOT_CONNECTED: CallOutcome.RESET,
     FailureKind.NOT_OWNER: CallOutcome.FAILED,
+    FailureKind.NO_RIGHT: CallOutcome.CANCELLED,
     FailureKind.SHED: CallOutcome.SHED,
     FailureKind.TIMED_OUT: CallOutcome.TIMED_OUT,
     FailureKind.RESET: CallOutcome.RESET,
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -42,6 +42,11 @@
         Map version by which the server owns the shard, 0 for unkeyed requests.
     connections
         Connections that the server accepts from this instance.
+    send_until
+        Monotonic time in seconds at which the call has to end because the sender's right ends,
+        or None.
+    max_call_s
+        Longest time of a call in seconds, or None.
     """
 
     server_id: str
@@ -50,6 +55,17 @@
     shard: int | None = None
     map_version: int = 0
     connections: int = 110
+    send_until: float | None = None
+    max_call_s: float | None = None
+
+    def call_s(self, remaining_s: float, now: float) -> float:
+        """Return the seconds that a call may take from ``now`` on; 0 or less for none."""
+        bounds = [remaining_s]
+        if self.max_call_s is not None:
+            bounds.append(self.max_call_s)
+        if self.send_until is not None:
+            bounds.append(self.send_until - now)
+        return min(bounds)
 
 
 class Upstream:
@@ -85,6 +101,10 @@
         """
         pool = self._pools.connection_from_host(destination.host, destination.port, "http")
         started = time.monotonic()
+        # Tested immediately before the write; a right that has ended must not be used.
+        timeout_s = destination.call_s(timeout_s, started)
+        if timeout_s <= 0:
+            return UpstreamFailure(FailureKind.NO_RIGHT, destination.server_id)
         try:
             response = self._exchange(pool, request, destination, timeout_s)
         except (NewConnectionError, ConnectTimeoutError):
--- a/packages/damasktide/src/damasktide/ownership/messages.py
+++ b/packages/damasktide/src/damasktide/ownership/messages.py
@@ -18,10 +18,14 @@
         The map, or None before the first one.
     owner_by_shard
         Owner of each shard, or None while it has none or its move is pending.
+    right_until
+        Monotonic time in seconds at which this instance's right for its own failure domain
+        ends.
     """
 
     shard_map: ShardMap | None = None
     owner_by_shard: tuple[OwnerServer | None, ...] = ()
+    right_until: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/ownership/task.py
+++ b/packages/damasktide/src/damasktide/ownership/task.py
@@ -1,6 +1,7 @@
 """The task that owns the ownership decisions of one service."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from gevent.pool import Pool
@@ -204,18 +205,24 @@
 
     def _publish(self) -> None:
         shard_map = self._decisions.shard_map
-        if shard_map is not None and shard_map is not self._snapshot.value.shard_map:
-            self._snapshot.publish(_snapshot_of(shard_map))
-            self._on_version(shard_map.version)
+        if shard_map is None:
+            return
+        right_until = self._decisions.right_valid_until(self._settings.domain)
+        if shard_map is self._snapshot.value.shard_map:
+            if right_until != self._snapshot.value.right_until:
+                self._snapshot.publish(replace(self._snapshot.value, right_until=right_until))
+            return
+        self._snapshot.publish(_snapshot_of(shard_map, right_until))
+        self._on_version(shard_map.version)
 
 
-def _snapshot_of(shard_map: ShardMap) -> OwnerSnapshot:
+def _snapshot_of(shard_map: ShardMap, right_until: float) -> OwnerSnapshot:
     pending = shard_map.pending_by_shard()
     owners = tuple(
         None if index < 0 or shard in pending else shard_map.servers[index]
         for shard, index in enumerate(shard_map.owners)
     )
-    return OwnerSnapshot(shard_map, owners)
+    return OwnerSnapshot(shard_map, owners, right_until)
 
 
 def _target_of(effect: Effect) -> tuple[type, str]:
