Refuse keyed requests to unchecked servers of another failure domain

Cause: with no live instance in the owner's domain the request would have been sent from another one, whose right covers other servers. Ruled out: rights for foreign domains at every instance, which would multiply the confirmations. Conclusion: only instances of the owner's domain send to unchecked servers.

--- a/packages/damasktide/src/damasktide/assembly/services.py
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -156,6 +156,7 @@
     )
     route = ServiceRoute(
         service=service.name,
+        domain=shared.own.domain,
         space=space,
         owners=snapshot,
         max_deadline_s=service.max_deadline_s,
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -24,6 +24,8 @@
     ----------
     service
         Name of the service.
+    domain
+        Failure domain of this instance.
     space
         How keys map to shards.
     owners
@@ -41,6 +43,7 @@
     """
 
     service: str
+    domain: str
     space: ShardSpace
     owners: Published[OwnerSnapshot]
     max_deadline_s: float | None
@@ -99,6 +102,9 @@
     if isinstance(found, Refusal):
         return found
     owner = found.owner
+    if not route.grants_checked and owner.domain != route.domain:
+        detail = f"only instances of {owner.domain} may send to its servers"
+        return Refusal(RefusalCode.NO_OWNER, detail, 1)
     return Destination(
         owner.server_id,
         owner.host,
