--- a/packages/damasktide/src/damasktide/assembly/request_gate.py
+++ b/packages/damasktide/src/damasktide/assembly/request_gate.py
@@ -5,6 +5,7 @@
 
 from damasktide.admission.refusals import Refusal, RefusalCode
 from damasktide.admission.request import Answer, CallerRequest
+from damasktide.forwarding import codec
 from damasktide.forwarding.request_service import RequestService
 from damasktide.lifecycle.state import LifecycleSnapshot
 from damasktide.lifecycle.task import LifecycleTask, RequestFinished, RequestStarted
@@ -59,20 +60,25 @@
 
     def handle_forwarded(self, sender_id: str, body: bytes) -> bytes:
         """Serve a request that another instance admitted."""
+        if not self._snapshot.value.accepts_requests:
+            return codec.encode_result(self._draining())
         self._lifecycle.tell(RequestStarted())
         try:
             return self._requests.handle_forwarded(sender_id, body)
         finally:
             self._lifecycle.tell(RequestFinished())
 
+    def _draining(self) -> Refusal:
+        phase = self._snapshot.value.phase.value
+        return Refusal(RefusalCode.DRAINING, f"this instance is {phase}", 1)
+
     def count_refusal(self, refusal: Refusal) -> None:
         """Count a refusal by its code."""
         self._record(Count(refusal_metric(refusal.code)))
 
     def _handle(self, request: CallerRequest) -> Answer | Refusal:
         if not self._snapshot.value.accepts_requests:
-            phase = self._snapshot.value.phase.value
-            return Refusal(RefusalCode.DRAINING, f"this instance is {phase}", 1)
+            return self._draining()
         self._lifecycle.tell(RequestStarted())
         try:
             return self._requests.handle(request)
--- a/packages/damasktide/src/damasktide/discovery/topology.py
+++ b/packages/damasktide/src/damasktide/discovery/topology.py
@@ -59,6 +59,11 @@
             and configured_name(instance_id) not in self.out.instances
         )
 
+    def is_out(self, instance: Instance) -> bool:
+        """Return whether operators have taken an instance or its failure domain out."""
+        is_named = configured_name(instance.instance_id) in self.out.instances
+        return is_named or instance.domain in self.out.domains
+
     def usable_targets(self, service: str) -> tuple[Target, ...]:
         """Return the targets of a service; those in a domain taken out count as leaving."""
         return tuple(
--- a/packages/damasktide/src/damasktide/frontend/app.py
+++ b/packages/damasktide/src/damasktide/frontend/app.py
@@ -27,6 +27,8 @@
         Serves a caller's request.
     lifecycle
         State of the instance, for the platform's probes.
+    is_out_of_service
+        Returns whether operators have taken the instance or its failure domain out.
     query_by_name
         Operators' queries; each takes the rest of the path as its arguments.
     on_refused
@@ -35,6 +37,7 @@
 
     handle: Callable[[CallerRequest], Answer | Refusal]
     lifecycle: Published[LifecycleSnapshot]
+    is_out_of_service: Callable[[], bool]
     query_by_name: Mapping[str, Callable[..., Any]]
     on_refused: Callable[[Refusal], None]
 
@@ -67,8 +70,11 @@
         except (TypeError, KeyError, ValueError) as error:
             return _json({"error": str(error)}, 400)
 
+    def readiness() -> HTTPResponse:
+        return _probe(readyz(handlers.lifecycle.value, handlers.is_out_of_service()))
+
     app.route("/healthz", "GET", lambda: _probe(healthz(handlers.lifecycle.value)))
-    app.route("/readyz", "GET", lambda: _probe(readyz(handlers.lifecycle.value)))
+    app.route("/readyz", "GET", readiness)
     app.route("/admin/<name>", "GET", query)
     app.route("/admin/<name>/<rest:path>", "GET", query)
     app.route("/<path:path>", sorted(METHODS), serve)
--- a/packages/damasktide/src/damasktide/lifecycle/probes.py
+++ b/packages/damasktide/src/damasktide/lifecycle/probes.py
@@ -27,9 +27,9 @@
     failed_task: str
 
 
-def readyz(snapshot: LifecycleSnapshot) -> ProbeAnswer:
+def readyz(snapshot: LifecycleSnapshot, is_out_of_service: bool = False) -> ProbeAnswer:
     """Return whether the load balancer should send new connections."""
-    return _answer(snapshot, snapshot.is_ready)
+    return _answer(snapshot, snapshot.is_ready and not is_out_of_service)
 
 
 def healthz(snapshot: LifecycleSnapshot) -> ProbeAnswer:
