--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_execution.py
@@ -0,0 +1,79 @@
+import unittest
+from unittest import mock
+
+from damasktide.admission.request import AdmittedRequest
+from damasktide.balancing.targets import Target
+from damasktide.forwarding.execution import (
+    SETTLE_S,
+    ExecutionView,
+    executor_of_keyed,
+    executor_of_unkeyed,
+)
+from damasktide.limits.slot_share import NOTHING, WHOLE
+from damasktide.membership.instances import Instance
+from damasktide.ownership.shard_map import OwnerServer
+
+OWNER = OwnerServer("s1", "ondo-a", "ondo", "127.0.0.1", 1)
+TARGET = Target("s1", "batch-desk", "ondo-a", "ondo", "127.0.0.1", 1)
+
+
+def instance(name: str, domain: str) -> Instance:
+    return Instance(name, domain, "ondo", "127.0.0.1", 1, 2)
+
+
+OWN = instance("own", "ondo-b")
+NEAR = [instance(f"near-{number}", "ondo-a") for number in range(3)]
+VIEW = ExecutionView(
+    own=OWN,
+    alive=[OWN, *NEAR],
+    seen_at_by_id={one.instance_id: 0.0 for one in [OWN, *NEAR]},
+    target_by_id={"s1": TARGET},
+)
+
+
+def admitted(is_idempotent: bool) -> AdmittedRequest:
+    request = mock.Mock(service="batch-desk", request_id="r1")
+    return AdmittedRequest(request, "crew", frozenset(), is_idempotent, True)
+
+
+class ExecutorTest(unittest.TestCase):
+    def keyed(
+        self, is_idempotent: bool = True, checked: bool = True, share: object = WHOLE
+    ) -> str:
+        request = admitted(is_idempotent)
+        return executor_of_keyed(VIEW, request, OWNER, 7, checked, share, now=99.0)  # type: ignore[arg-type]
+
+    def test_only_idempotent_work_with_a_slot_is_sent_from_here(self) -> None:
+        """Guards against a booking that no gatekeeper remembers."""
+        self.assertEqual(self.keyed(), "own")
+        near = {one.instance_id for one in NEAR}
+        self.assertIn(self.keyed(is_idempotent=False), near)
+        self.assertIn(self.keyed(checked=False), near)
+        self.assertIn(self.keyed(share=NOTHING), near)
+
+    def test_all_instances_choose_the_same_gatekeeper(self) -> None:
+        """Guards against a repeat that reaches an instance without the record."""
+        views = [ExecutionView(one, VIEW.alive, VIEW.seen_at_by_id) for one in VIEW.alive]
+        chosen = {
+            executor_of_keyed(view, admitted(False), OWNER, 7, True, WHOLE, 99.0) for view in views
+        }
+        self.assertEqual(len(chosen), 1)
+
+    def test_instance_that_has_just_joined_runs_nothing_for_others(self) -> None:
+        """Guards against requests refused by an instance that has no share yet."""
+        seen_at_by_id = {**VIEW.seen_at_by_id, "near-1": 99.0, "near-2": 99.0}
+        view = ExecutionView(OWN, VIEW.alive, seen_at_by_id, VIEW.target_by_id)
+        for shard in range(20):
+            chosen = executor_of_keyed(view, admitted(False), OWNER, shard, True, WHOLE, 100.0)
+            self.assertEqual(chosen, "near-0")
+        later = 99.0 + SETTLE_S
+        self.assertEqual(len(view.executors_in("ondo-a", later)), 3)
+
+    def test_unkeyed_work_stays_in_the_failure_domain(self) -> None:
+        """Guards against unkeyed work that is sent on without need."""
+        for is_idempotent in (True, False):
+            self.assertEqual(executor_of_unkeyed(VIEW, admitted(is_idempotent), 99.0), "own")
+
+
+if __name__ == "__main__":
+    unittest.main()
