--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/__main__.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/__main__.py
@@ -5,33 +5,58 @@
 monkey.patch_all()
 
 import sys
+from collections.abc import Iterator
 
 import click
 
 from damasktide_standins.cluster.local_cluster import LocalCluster
-from damasktide_standins.process_faults.runner import LAYOUT, run_scenarios
-from damasktide_standins.process_faults.scenarios import scenarios
+from damasktide_standins.process_faults.registry import POINTS, scenarios, scenarios_by_point
+from damasktide_standins.process_faults.runner import ScenarioResult, run_scenarios
 
 
 @click.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--only", help="Run the scenarios whose name contains this text.")
-def main(seed: int, only: str | None) -> None:
-    """Run the process faults against a local deployment and print a table."""
+@click.option(
+    "--list", "list_only", is_flag=True, help="Print only what each point is covered by."
+)
+def main(seed: int, only: str | None, list_only: bool) -> None:
+    """Run the process faults against local deployments and print a table."""
     names = [name for name in scenarios if only is None or only in name]
-    failed = 0
-    with LocalCluster(LAYOUT) as cluster:
-        for result in run_scenarios(cluster, names, seed):
-            state = "failed" if result.problems else "held"
-            failed += bool(result.problems)
-            figures = " ".join(f"{key}={value:.2f}" for key, value in result.figures.items())
-            click.echo(f"{state:7}{result.name:42}{result.served:6} served  {figures}")
-            click.echo(f"{'':7}refusals: {result.refusals}")
-            for problem in result.problems[:10]:
-                click.echo(f"{'':7}{problem}")
-    click.echo(f"{len(names) - failed} held, {failed} failed, seed {seed}")
+    results = [] if list_only else list(_run(names, seed))
+    _print_points()
+    failed = sum(bool(result.problems or result.late) for result in results)
+    click.echo(f"{len(results) - failed} held, {failed} failed, seed {seed}")
     sys.exit(1 if failed else 0)
 
 
+def _run(names: list[str], seed: int) -> Iterator[ScenarioResult]:
+    """Run all scenarios, those of the same layout in one deployment."""
+    names_by_layout: dict[int, list[str]] = {}
+    for name in names:
+        names_by_layout.setdefault(id(scenarios.get(name).layout), []).append(name)
+    for group in names_by_layout.values():
+        with LocalCluster(scenarios.get(group[0]).layout) as cluster:
+            for result in run_scenarios(cluster, group, seed):
+                _print_result(result)
+                yield result
+
+
+def _print_result(result: ScenarioResult) -> None:
+    problems = (*result.problems, *result.late)
+    state = "failed" if problems else "held"
+    points = ",".join(str(point) for point in scenarios.get(result.name).points)
+    figures = " ".join(f"{key}={value:.2f}" for key, value in result.figures.items())
+    click.echo(f"{state:7}{result.name:46}points {points:12}{result.served:6} served  {figures}")
+    click.echo(f"{'':7}refusals: {result.refusals}")
+    for problem in problems[:10]:
+        click.echo(f"{'':7}{problem}")
+
+
+def _print_points() -> None:
+    for point, names in scenarios_by_point().items():
+        click.echo(f"{point:3}  {POINTS[point]}: {'; '.join(names) or 'no scenario'}")
+
+
 if __name__ == "__main__":
     main(prog_name="process_faults")
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/leaving.py
@@ -0,0 +1,50 @@
+"""A leaving backend server gets no new work and its shards move without a cut request."""
+
+import json
+import time
+
+import gevent
+
+from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.process_faults.controls import owner_of, probing, recovery
+from damasktide_standins.process_faults.load import Callers
+from damasktide_standins.process_faults.registry import Findings, scenario
+
+NO_NEW_WORK_AFTER_S = 5.0
+OBSERVED_S = 3.0
+
+
+@scenario("backend server leaves", 1, 8, 9)
+def server_leaves(cluster: LocalCluster, callers: Callers) -> Findings:
+    """Mark the owner of a key as leaving in the live list."""
+    key = callers.keys[4]
+    leaving = owner_of(cluster, key)
+    with probing(callers, key):
+        started = time.time()
+        _set_state(cluster, leaving, "leaving")
+        findings = recovery(callers, key, started, leaving)
+        gevent.sleep(max(0.0, started + NO_NEW_WORK_AFTER_S - time.time()))
+        quiet_from = time.time()
+        gevent.sleep(OBSERVED_S)
+    lines = [line for line in cluster.executions() if line["server_id"] == leaving]
+    new = sum(float(str(line["start"])) > quiet_from for line in lines)
+    cut = sum(float(str(line["end"])) > started and line["ending"] == "cut" for line in lines)
+    _set_state(cluster, leaving, "live")
+    gevent.sleep(2.0)
+    problems = list(findings.problems)
+    problems += [f"{new} requests ran on {leaving} after 5 s"] if new else []
+    problems += [f"{cut} requests on {leaving} were cut"] if cut else []
+    return Findings(tuple(problems), {**findings.figures, "new": new, "cut": cut}, findings.late)
+
+
+def _set_state(cluster: LocalCluster, server_id: str, state: str) -> None:
+    url = f"http://127.0.0.1:{cluster.platform_port}/instances"
+    document = cluster.http.request("GET", url).json()
+    for entry in document["instances"]:
+        if entry["server_id"] == server_id:
+            entry["state"] = state
+    headers = {"Content-Type": "application/json"}
+    body = json.dumps(document).encode()
+    response = cluster.http.request("PUT", url, body=body, headers=headers)
+    if response.status != 200:
+        raise RuntimeError(f"the live list was not changed: {response.status}")
--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/scenarios.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/losses.py
@@ -1,106 +1,61 @@
-"""Faults of real processes; a registry holds one function for each."""
+"""Losses and freezes of servers, instances and the store."""
 
-import json
 import signal
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import gevent
 
 from damasktide.catalog.changes import Change
-from damasktide.runtime.registry import Registry
 from damasktide_standins.cluster.lists import change_document
 from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.process_faults.controls import (
+    SERVED_AGAIN_WITHIN_S,
+    owner_of,
+    probing,
+    recovery,
+    set_platform_faults,
+    set_server_fault,
+)
 from damasktide_standins.process_faults.load import Callers
 from damasktide_standins.process_faults.observer import longest_gap_s
+from damasktide_standins.process_faults.registry import Findings, scenario
 
-# Targets of the design page.
-SERVED_AGAIN_WITHIN_S = 2.0
-CONFIGURATION_WITHIN_S = 10.0
 NO_NEW_WORK_AFTER_S = 5.0
+SERVED_DURING_OUTAGE_S = 1.0
 
 # An instance or a server that is frozen this long has lost its rights and grants.
 FREEZE_S = 2.5
 
 
-@dataclass(frozen=True, slots=True)
-class Findings:
-    """What a scenario found by itself, besides the observer's checks.
-
-    Attributes
-    ----------
-    problems
-        A line for each violated expectation.
-    figures
-        Measured values by name, in seconds or as counts.
-    """
-
-    problems: tuple[str, ...] = ()
-    figures: dict[str, float] = field(default_factory=dict)
-
-
-Scenario = Callable[[LocalCluster, Callers], Findings]
-
-scenarios: Registry[str, Scenario] = Registry("process fault")
-
-
-def owner_of(cluster: LocalCluster, key: str) -> str:
-    """Return the owner of a key as an instance explains it; empty while it has none."""
-    name = next(iter(cluster.instance_by_name))
-    service = cluster.layout.services[0].name
-    explanation = cluster.admin(name, f"explain/{service}/{key}")["explanation"]
-    owner = explanation["owner"] if isinstance(explanation, dict) else None
-    return str(owner["server_id"]) if owner else ""
-
-
-def set_platform_faults(cluster: LocalCluster, **faults: object) -> None:
-    """Change the faults of the stand-in of the platform."""
-    url = f"http://127.0.0.1:{cluster.platform_port}/faults"
-    cluster.http.request("POST", url, body=json.dumps(faults).encode())
-
-
-def set_server_fault(cluster: LocalCluster, server_id: str, fault: str, **values: object) -> None:
-    """Switch a fault of a backend server on."""
-    port = cluster.server_by_id[server_id].port
-    url = f"http://127.0.0.1:{port}/faults/{fault}"
-    cluster.http.request("POST", url, body=json.dumps(values).encode())
-
-
-def _gap_findings(callers: Callers, key: str, started: float, limit_s: float) -> Findings:
-    gap_s = longest_gap_s(callers.record, key, started, time.time())
-    problems = () if gap_s <= limit_s else (f"{key} was not served for {gap_s:.2f} s",)
-    return Findings(problems, {"unavailable_s": gap_s})
-
-
-@scenarios.register("owner killed")
+@scenario("owner killed", 1, 2, 7, 8)
 def owner_killed(cluster: LocalCluster, callers: Callers) -> Findings:
     """Lose the owner of a key; the key has to be served again within 2 s."""
     key = callers.keys[0]
     owner = owner_of(cluster, key)
-    started = time.time()
-    cluster.process_by_name[owner].kill()
-    gevent.sleep(4.0)
-    findings = _gap_findings(callers, key, started, SERVED_AGAIN_WITHIN_S)
+    with probing(callers, key):
+        cluster.process_by_name[owner].kill()
+        findings = recovery(callers, key, time.time(), owner)
     cluster.start_server(owner)
     gevent.sleep(3.0)
     return findings
 
 
-@scenarios.register("owner frozen and back")
+@scenario("owner frozen and back", 1, 7, 8)
 def owner_frozen(cluster: LocalCluster, callers: Callers) -> Findings:
     """Freeze the owner of a key until its shards have moved, then let it return."""
     key = callers.keys[1]
     owner = owner_of(cluster, key)
-    started = time.time()
-    cluster.process_by_name[owner].send(signal.SIGSTOP)
-    gevent.sleep(FREEZE_S)
-    cluster.process_by_name[owner].send(signal.SIGCONT)
-    gevent.sleep(1.5)
-    return _gap_findings(callers, key, started, SERVED_AGAIN_WITHIN_S)
+    with probing(callers, key):
+        cluster.process_by_name[owner].send(signal.SIGSTOP)
+        started = time.time()
+        findings = recovery(callers, key, started, owner)
+        gevent.sleep(max(0.0, FREEZE_S - (time.time() - started)))
+        cluster.process_by_name[owner].send(signal.SIGCONT)
+        gevent.sleep(1.5)
+    return findings
 
 
-@scenarios.register("instance killed")
+@scenario("instance killed", 1, 7, 8)
 def instance_killed(cluster: LocalCluster, callers: Callers) -> Findings:
     """Lose an instance; the keys whose requests it ran are served by others."""
     name = next(iter(cluster.instance_by_name))
@@ -111,11 +66,11 @@
     worst = max(longest_gap_s(callers.record, key, started, time.time()) for key in callers.keys)
     cluster.start_instance(name)
     cluster.wait_until(lambda: cluster.is_ready(name), 20.0, name)
-    problems = () if worst <= SERVED_AGAIN_WITHIN_S else (f"a key waited {worst:.2f} s",)
-    return Findings(problems, {"unavailable_s": worst})
+    late = () if worst <= SERVED_AGAIN_WITHIN_S else (f"a key waited {worst:.2f} s",)
+    return Findings(figures={"unavailable_s": worst}, late=late)
 
 
-@scenarios.register("instance frozen and back")
+@scenario("instance frozen and back", 1, 7, 8)
 def instance_frozen(cluster: LocalCluster, callers: Callers) -> Findings:
     """Freeze an instance past the end of its right, then let it return."""
     name = list(cluster.instance_by_name)[1]
@@ -126,7 +81,7 @@
     return Findings()
 
 
-@scenarios.register("store down")
+@scenario("store down", 2, 11)
 def store_down(cluster: LocalCluster, callers: Callers) -> Findings:
     """Take the store away for 5 s; nothing may stop."""
     started = time.time()
@@ -135,11 +90,12 @@
     worst = max(longest_gap_s(callers.record, key, started, time.time()) for key in callers.keys)
     set_platform_faults(cluster, down=False)
     gevent.sleep(1.0)
-    problems = () if worst <= 1.0 else (f"a key was not served for {worst:.2f} s",)
-    return Findings(problems, {"unavailable_s": worst})
+    is_late = worst > SERVED_DURING_OUTAGE_S
+    late = (f"a key was not served for {worst:.2f} s",) if is_late else ()
+    return Findings(figures={"unavailable_s": worst}, late=late)
 
 
-@scenarios.register("store down, then owner killed")
+@scenario("store down, then owner killed", 1, 2, 7, 8)
 def store_down_owner_killed(cluster: LocalCluster, callers: Callers) -> Findings:
     """Lose an owner during an outage; its keys refuse and others go on."""
     key = callers.keys[2]
@@ -148,32 +104,30 @@
     gevent.sleep(0.5)
     cluster.process_by_name[owner].kill()
     gevent.sleep(2.0)
-    set_platform_faults(cluster, down=False)
-    back = time.time()
-    gevent.sleep(3.0)
-    findings = _gap_findings(callers, key, back, SERVED_AGAIN_WITHIN_S)
+    with probing(callers, key):
+        set_platform_faults(cluster, down=False)
+        findings = recovery(callers, key, time.time(), owner)
     cluster.start_server(owner)
     gevent.sleep(2.0)
     return findings
 
 
-@scenarios.register("answers of writes lost")
+@scenario("answers of writes lost", 1, 2, 8)
 def write_answers_lost(cluster: LocalCluster, callers: Callers) -> Findings:
     """Lose the answers of the writes that move the shards of a lost server."""
     key = callers.keys[3]
     owner = owner_of(cluster, key)
     set_platform_faults(cluster, drop_answers=2)
-    started = time.time()
-    cluster.process_by_name[owner].kill()
-    gevent.sleep(5.0)
-    findings = _gap_findings(callers, key, started, SERVED_AGAIN_WITHIN_S)
+    with probing(callers, key):
+        cluster.process_by_name[owner].kill()
+        findings = recovery(callers, key, time.time(), owner)
     set_platform_faults(cluster, drop_answers=0)
     cluster.start_server(owner)
     gevent.sleep(2.0)
     return findings
 
 
-@scenarios.register("instance stopped gracefully")
+@scenario("instance stopped gracefully", 10)
 def graceful_stop(cluster: LocalCluster, callers: Callers) -> Findings:
     """Stop an instance under load as the platform does; no request may be cut."""
     name = list(cluster.instance_by_name)[-1]
@@ -194,7 +148,7 @@
     return Findings(tuple(problems), {"cut": cut})
 
 
-@scenarios.register("responses truncated, crossed and reset")
+@scenario("responses truncated, crossed and reset", 6, 8)
 def bad_responses(cluster: LocalCluster, callers: Callers) -> Findings:
     """Damage responses of every backend server; none may reach a caller as whole."""
     for server_id in cluster.server_by_id:
@@ -207,7 +161,7 @@
     return Findings()
 
 
-@scenarios.register("domain taken out and back")
+@scenario("domain taken out and back", 4, 8)
 def domain_out(cluster: LocalCluster, callers: Callers) -> Findings:
     """Take a failure domain out; it gets no new work after a few seconds."""
     domain = next(iter(cluster.layout.region_by_domain))
--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/runner.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/runner.py
@@ -2,20 +2,18 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from zlib import crc32
 
 import gevent
 
-from damasktide_standins.cluster.layout import Layout, ServiceLayout
 from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.process_faults import configuration, home_regions, leaving, losses
 from damasktide_standins.process_faults.load import Callers
 from damasktide_standins.process_faults.observer import faults
-from damasktide_standins.process_faults.scenarios import Findings, scenarios
+from damasktide_standins.process_faults.registry import Findings, scenarios
 
-LAYOUT = Layout(
-    region_by_domain={"ondo-a": "ondo", "ondo-b": "ondo"},
-    instances_per_domain=2,
-    services=(ServiceLayout("batch-desk", 3, "yield", 48, "bookings", "recipes"),),
-)
+# Importing these modules fills the registry.
+SUBJECTS = (losses, home_regions, configuration, leaving)
 KEYS = tuple(f"line-{number}" for number in range(1, 7))
 WARM_UP_S = 1.0
 
@@ -30,6 +28,8 @@
         Name in the registry.
     problems
         A line for each violation.
+    late
+        A line for each exceeded time bound.
     figures
         Measured values by name.
     served
@@ -40,6 +40,7 @@
 
     name: str
     problems: tuple[str, ...]
+    late: tuple[str, ...]
     figures: dict[str, float]
     served: int
     refusals: dict[str, int]
@@ -49,20 +50,25 @@
     cluster: LocalCluster, names: Iterable[str], seed: int
 ) -> Iterator[ScenarioResult]:
     """Yield the result of each scenario; all of them share one deployment."""
-    for index, name in enumerate(names):
-        yield run_scenario(cluster, name, seed * 1000 + index)
+    for name in names:
+        yield run_scenario(cluster, name, seed)
 
 
 def run_scenario(cluster: LocalCluster, name: str, seed: int) -> ScenarioResult:
     """Run one scenario under load and check what was observed."""
-    callers = Callers(cluster, KEYS, seed)
+    # The execution logs span all scenarios, so two of them must not draw the same request ids.
+    callers = Callers(cluster, KEYS, seed ^ crc32(name.encode()))
     callers.start()
     gevent.sleep(WARM_UP_S)
     try:
-        findings: Findings = scenarios.get(name)(cluster, callers)
+        findings: Findings = scenarios.get(name).run(cluster, callers)
     finally:
         record = callers.stop()
-    problems = (*findings.problems, *faults(cluster, record))
     return ScenarioResult(
-        name, problems, dict(findings.figures), len(record.served), dict(record.refusals)
+        name=name,
+        problems=(*findings.problems, *faults(cluster, record)),
+        late=findings.late,
+        figures=dict(findings.figures),
+        served=len(record.served),
+        refusals=dict(record.refusals),
     )
