--- a/packages/damasktide-standins/src/damasktide_standins/ownership_world/faults.py
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/faults.py
@@ -7,7 +7,8 @@
 from damasktide_standins.ownership_world.node import Node
 from damasktide_standins.ownership_world.world import World
 
-FREEZE_S = 1.5
+# Longer than a takeover, so that a server or an instance returns after its keys have moved.
+FREEZE_S = 2.5
 SLOW_TABLE_S = 0.4
 MESSAGE_DELAY_S = 0.5
 
--- a/packages/damasktide/src/damasktide/ownership/proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/proposals.py
@@ -1,49 +1,12 @@
 """Chooses the one change of the map that an instance proposes next."""
 
-from collections.abc import Iterator, Set
-from dataclasses import dataclass
+from collections.abc import Iterator
 
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.moves import MoveProgress
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.roles import Roles
 from damasktide.ownership.shard_map import ShardMap
-from damasktide.ownership.surroundings import Surroundings
-
-
-@dataclass(frozen=True, slots=True)
-class View:
-    """What a proposal is based on.
-
-    Attributes
-    ----------
-    shard_map
-        The adopted map.
-    roles
-        Duties of the instances.
-    controlled
-        Ids of the servers whose moves this instance controls.
-    surroundings
-        What other tasks have published.
-    now
-        Monotonic time.
-    quiet_domain, quiet_since
-        Guarded failure domain whose instances do not reply, and since when, or None.
-    guarded_ids
-        Instances of the guarded failure domain to be asked whether they are alive.
-    is_quiet_domain_lost
-        Whether the quiet failure domain is taken for lost.
-    """
-
-    shard_map: ShardMap
-    roles: Roles
-    controlled: Set[str]
-    surroundings: Surroundings
-    now: float
-    quiet_domain: str | None = None
-    quiet_since: float = 0.0
-    guarded_ids: tuple[str, ...] = ()
-    is_quiet_domain_lost: bool = False
+from damasktide.ownership.views import View
 
 
 class Proposals:
--- a/packages/damasktide/src/damasktide/ownership/renewals.py
+++ b/packages/damasktide/src/damasktide/ownership/renewals.py
@@ -6,8 +6,8 @@
 from damasktide.ownership.contacts import Contact, Contacts
 from damasktide.ownership.effects import Effect, QueryServer, SendGrant
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.proposals import View
 from damasktide.ownership.shard_map import OwnerServer
+from damasktide.ownership.views import View
 
 
 class Renewals:
--- a/packages/damasktide/src/damasktide/ownership/service_ownership.py
+++ b/packages/damasktide/src/damasktide/ownership/service_ownership.py
@@ -5,17 +5,10 @@
 """
 
 from collections.abc import Iterator, Mapping
-from dataclasses import replace
 
 from damasktide.ownership.announcements import Announcements
 from damasktide.ownership.authority import Authority
-from damasktide.ownership.constants import (
-    CLOCK_STEP_S,
-    HOLD_LIMIT_S,
-    MIN_TICK_GAP_S,
-    PAUSED_AFTER_S,
-    RENEW_INTERVAL_S,
-)
+from damasktide.ownership.constants import HOLD_LIMIT_S, RENEW_INTERVAL_S
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.effects import (
     AskAdopt,
@@ -30,12 +23,14 @@
 from damasktide.ownership.moves import MoveProgress
 from damasktide.ownership.ownership_settings import OwnershipSettings
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.proposals import Proposals, View
+from damasktide.ownership.proposals import Proposals
 from damasktide.ownership.renewals import Renewals
 from damasktide.ownership.rights import NEVER
 from damasktide.ownership.roles import Roles
 from damasktide.ownership.shard_map import ShardMap
 from damasktide.ownership.surroundings import Surroundings
+from damasktide.ownership.ticks import TickPlan
+from damasktide.ownership.views import View, roles_of, view_of
 
 __all__ = ["OwnershipSettings", "ServiceOwnership"]
 
@@ -61,7 +56,7 @@
         self._renewals = Renewals(self._placement, self._contacts, self._authority)
         self._guard = DomainGuard()
         self._announcements = Announcements()
-        self._is_tick_due = False
+        self._ticks = TickPlan()
         self._is_right_awaited = True
         self._controlled: frozenset[str] = frozenset()
         self._is_row_absent = False
@@ -71,7 +66,6 @@
         self._propose_after = NEVER
         self._newest_version_seen = 0
         self._behind_ids: set[str] = set()
-        self._last_tick_at = NEVER
 
     @property
     def shard_map(self) -> ShardMap | None:
@@ -97,15 +91,10 @@
 
         A task that only ticks once per renewal interval is safe as well, but slower.
         """
-        earliest = self._last_tick_at + MIN_TICK_GAP_S
-        if self._is_tick_due:
-            return earliest
-        times = [self._last_tick_at + RENEW_INTERVAL_S]
+        times = [self._contacts.suspect_at(one) for one in self._controlled]
         if self._map is not None:
-            times.append(self._moves.next_completion(self._map, self._last_tick_at))
-        suspect_times = (self._contacts.suspect_at(one) + CLOCK_STEP_S for one in self._controlled)
-        times.extend(time for time in suspect_times if time > self._last_tick_at)
-        return max(earliest, min(times))
+            times.append(self._moves.next_completion(self._map, self._ticks.last_at))
+        return self._ticks.next_at(times)
 
     # Events -----------------------------------------------------------------------------
 
@@ -114,14 +103,14 @@
         self._is_row_absent = shard_map is None
         if shard_map is not None:
             self._adopt(shard_map, now)
-            self._is_tick_due |= self._authority.table_news_at < self._propose_after <= asked_at
+            self._ticks.is_due |= self._authority.table_news_at < self._propose_after <= asked_at
             self._authority.record_news(shard_map.version, asked_at)
             self._note_right(asked_at)
 
     def on_write_result(self, written: ShardMap | None, now: float) -> None:
         """Take the row after a write, own or another's; None means that it is not known."""
         self._is_write_open = False
-        self._is_tick_due = True
+        self._ticks.is_due = True
         self._is_read_due = written is None
         if written is None:
             self._propose_after = now
@@ -173,20 +162,18 @@
         if before is not None and after is not None:
             is_drained = before.draining > 0 and after.draining == 0
             is_new = (before.term, before.accepted_version) != (after.term, after.accepted_version)
-            self._is_tick_due |= is_drained or is_new
+            self._ticks.is_due |= is_drained or is_new
 
     def on_tick(self, now: float) -> Iterator[Effect]:
         """Yield what is to be done now; called when :meth:`next_tick_at` is reached."""
-        if now - self._last_tick_at > PAUSED_AFTER_S:
+        if self._ticks.start(now):
             # The process was paused, so missing responses say nothing about the others.
             self._contacts.restart_watch(now)
             self._guard.restart(now)
-        self._last_tick_at = now
-        self._is_tick_due = False
         if self._map is None:
             yield from self._first_effects(self._roles(), now)
             return
-        view = self._view(self._map, now)
+        view = view_of(self._settings, self._surroundings, self._map, self._guard, now)
         yield from self._news_effects(view)
         self._renewals.watch(view)
         self._controlled = self._contacts.watched_ids() & view.controlled
@@ -195,36 +182,7 @@
         yield from self._write_effects(view)
 
     def _roles(self) -> Roles:
-        return Roles(
-            instance_id=self._settings.instance_id,
-            domain=self._settings.domain,
-            service=self._settings.service,
-            alive=self._surroundings.alive,
-        )
-
-    def _view(self, shard_map: ShardMap, now: float) -> View:
-        roles = self._roles()
-        guarded = roles.guarded_domain(shard_map.confirmers)
-        sample = roles.sample_of(guarded) if guarded is not None else []
-        silent = guarded if sample and self._guard.is_silent(sample, now) else None
-        if silent is not None:
-            roles = roles.without(silent)
-        controlled = frozenset(
-            server.server_id
-            for server in shard_map.servers
-            if server.domain == silent or roles.controls(server, shard_map.confirmers)
-        )
-        return View(
-            shard_map=shard_map,
-            roles=roles,
-            controlled=controlled,
-            surroundings=replace(self._surroundings, alive=tuple(roles.alive)),
-            now=now,
-            quiet_domain=guarded if sample and self._guard.is_quiet(sample, now) else None,
-            quiet_since=self._guard.silent_since(sample),
-            guarded_ids=tuple(sample),
-            is_quiet_domain_lost=silent is not None,
-        )
+        return roles_of(self._settings, self._surroundings)
 
     def _first_effects(self, roles: Roles, now: float) -> Iterator[Effect]:
         """Yield what is to be done before a map is adopted."""
@@ -256,7 +214,7 @@
         if self._map is not None and guarded is not None:
             self._guard.record_change(self._map, shard_map, guarded, now)
         self._map = shard_map
-        self._is_tick_due = True
+        self._ticks.is_due = True
         self._is_right_awaited = True
         self._authority.adopt(shard_map.version)
         self._moves.on_new_map(shard_map, self._settings.instance_id, now)
@@ -267,7 +225,7 @@
         if version > max(known, self._newest_version_seen):
             self._newest_version_seen = version
             self._is_read_due = True
-            self._is_tick_due = True
+            self._ticks.is_due = True
 
     def _note_right(self, at: float) -> None:
         """Ask for a tick when the rights under a new version become valid."""
@@ -275,7 +233,7 @@
             return
         if self._authority.has_right(self._map.confirmers, at):
             self._is_right_awaited = False
-            self._is_tick_due = True
+            self._ticks.is_due = True
 
     def _adopt_effects(self, view: View) -> Iterator[Effect]:
         asked = self._moves.missing_acks(view.shard_map, view.controlled)
--- a/packages/damasktide/src/damasktide/ownership/tests/test_proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_proposals.py
@@ -4,7 +4,7 @@
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.moves import MoveProgress
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.proposals import Proposals, View
+from damasktide.ownership.proposals import Proposals
 from damasktide.ownership.roles import Roles
 from damasktide.ownership.shard_map import MoveCause, ShardMap, with_moves
 from damasktide.ownership.shards import ShardSpace
@@ -18,6 +18,7 @@
     reply,
     target,
 )
+from damasktide.ownership.views import View
 
 
 class ProposalsTest(unittest.TestCase):
--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/ticks.py
@@ -0,0 +1,35 @@
+"""When the decisions are due again."""
+
+from collections.abc import Iterable
+
+from damasktide.ownership.constants import (
+    CLOCK_STEP_S,
+    MIN_TICK_GAP_S,
+    PAUSED_AFTER_S,
+    RENEW_INTERVAL_S,
+)
+from damasktide.ownership.rights import NEVER
+
+
+class TickPlan:
+    """Time of the last tick, and whether an event has brought the next one forward."""
+
+    def __init__(self) -> None:
+        self.last_at = NEVER
+        self.is_due = False
+
+    def start(self, now: float) -> bool:
+        """Start a tick and return whether the process was paused before it."""
+        was_paused = now - self.last_at > PAUSED_AFTER_S
+        self.last_at = now
+        self.is_due = False
+        return was_paused
+
+    def next_at(self, deadlines: Iterable[float]) -> float:
+        """Return the time of the next tick, given deadlines of which the past ones are done."""
+        earliest = self.last_at + MIN_TICK_GAP_S
+        if self.is_due:
+            return earliest
+        ahead = (time + CLOCK_STEP_S for time in deadlines)
+        times = [time for time in ahead if time > self.last_at]
+        return max(earliest, min([self.last_at + RENEW_INTERVAL_S, *times]))
