--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/ownership_world/alternatives.py
@@ -0,0 +1,92 @@
+"""Measures the unavailable time of the alternatives of section 4.2 of the design page."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+import click
+
+from damasktide.ownership import quorums, rights, silence
+from damasktide.ownership.constants import RIGHT_TTL_S
+from damasktide.ownership.rights import RightTracker
+from damasktide.ownership.shard_map import ConfirmerSet
+from damasktide.ownership.silence import SilenceProof
+from damasktide.runtime.registry import Registry
+from damasktide_standins.ownership_world.history import longest_gap_by_shard
+from damasktide_standins.ownership_world.scenarios import SETTLED_S, losses
+from damasktide_standins.ownership_world.world import SHAPE_BY_NAME, World
+
+LONG_LEASE_S = 60.0
+REQUEST_INTERVAL_S = 0.3
+
+alternatives: Registry[str, list[Any]] = Registry("alternative")
+
+
+def _own_majority(confirmers: ConfirmerSet, domain: str, confirmed: frozenset[str]) -> bool:
+    own_ids = confirmers.own_ids(domain)
+    return len(own_ids & confirmed) * 2 > len(own_ids)
+
+
+def _table_right_only(tracker: RightTracker, confirmers: ConfirmerSet) -> float:
+    return tracker.table_news_at + RIGHT_TTL_S
+
+
+def _blocked_at_once(proof: SilenceProof) -> SilenceProof:
+    return replace(proof, blocked_at=proof.durable_at)
+
+
+# The lease of (a) ends by its length alone, so nobody has to acknowledge a takeover.
+alternatives.register("a")(
+    [
+        patch.dict(quorums.quorum_rules._item_by_key, {"yield": _own_majority}),
+        patch.object(rights, "RIGHT_TTL_S", LONG_LEASE_S),
+        patch.object(silence, "RIGHT_TTL_S", LONG_LEASE_S),
+        patch.object(SilenceProof, "started", _blocked_at_once),
+    ]
+)
+alternatives.register("b")([])
+alternatives.register("c")(
+    [
+        patch.object(RightTracker, "valid_until", _table_right_only),
+        patch.object(SilenceProof, "started", _blocked_at_once),
+    ]
+)
+
+
+@contextmanager
+def alternative(name: str) -> Iterator[None]:
+    """Run the decisions of an alternative."""
+    with ExitStack() as stack:
+        for one in alternatives.get(name):
+            stack.enter_context(one)
+        yield
+
+
+def gaps_s(name: str, loss: str, seed: int, watch_s: float) -> list[float]:
+    """Return for each shard the longest time without an execution after ``loss``, in seconds."""
+    shape = replace(SHAPE_BY_NAME["cocoa-commons"], request_interval_s=REQUEST_INTERVAL_S)
+    with alternative(name):
+        world = World(shape, seed)
+        world.run_until(SETTLED_S)
+        losses.get(loss)(world)
+        world.run_until(SETTLED_S + watch_s)
+    end = world.queue.now
+    return sorted(longest_gap_by_shard(world.history, shape.shards, SETTLED_S, end).values())
+
+
+@click.command()
+@click.option("--name", type=click.Choice(["a", "b", "c"]), required=True)
+@click.option("--seeds", default=2, help="Number of seeds, from 1.")
+@click.option("--watch-s", default=75.0, help="Seconds observed after the loss.")
+def main(name: str, seeds: int, watch_s: float) -> None:
+    """Print p50, p99 and maximum over shards and seeds, for each loss."""
+    for loss in losses:
+        gaps = sorted(g for s in range(1, seeds + 1) for g in gaps_s(name, loss, s, watch_s))
+        p50, p99 = gaps[len(gaps) // 2], gaps[int(len(gaps) * 0.99)]
+        click.echo(f"({name}) {loss}: p50 {p50:.2f} s, p99 {p99:.2f} s, max {gaps[-1]:.2f} s")
+
+
+if __name__ == "__main__":
+    main()
