Add the measuring tool, and set the faults of the platform that were refused

Ruled out: reading bytes from /proc, as it has no count for each process; cProfile, as it mixes greenlets; it samples stacks by SIGPROF instead. Change: measures in a registry, load processes, bare hop, control cost, capacity model.

--- a/packages/damasktide-standins/src/damasktide_standins/cluster/layout.py
+++ b/packages/damasktide-standins/src/damasktide_standins/cluster/layout.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 TOKEN = "ondo-cooperative-token"
 
@@ -25,6 +25,8 @@
         Names of one operation of each kind.
     service_time_ms
         Time that a request takes.
+    extra_servers_by_domain
+        Backend servers in a failure domain beyond ``servers_per_domain``.
     """
 
     name: str
@@ -34,6 +36,22 @@
     keyed_operation: str
     unkeyed_operation: str
     service_time_ms: float = 3.0
+    extra_servers_by_domain: Mapping[str, int] = field(default_factory=dict)
+
+    def servers_in(self, domain: str) -> int:
+        """Return the number of backend servers in a failure domain."""
+        return self.servers_per_domain + self.extra_servers_by_domain.get(domain, 0)
+
+    def settings(self) -> dict[str, object]:
+        """Return the settings of the service for an entry instance."""
+        return {
+            "shards": self.shards,
+            "on_isolation": self.on_isolation,
+            "operations": {
+                self.keyed_operation: {"keyed": True},
+                self.unkeyed_operation: {},
+            },
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +66,18 @@
         Entry instances in each failure domain.
     services
         The services.
+    extra_instances_by_domain
+        Entry instances in a failure domain beyond ``instances_per_domain``.
     """
 
     region_by_domain: Mapping[str, str]
     instances_per_domain: int
     services: tuple[ServiceLayout, ...]
+    extra_instances_by_domain: Mapping[str, int] = field(default_factory=dict)
+
+    def instances_in(self, domain: str) -> int:
+        """Return the number of entry instances in a failure domain."""
+        return self.instances_per_domain + self.extra_instances_by_domain.get(domain, 0)
 
 
 SMALL = Layout(
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Computes the cost of each role at the design size from measured slopes."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/control_cost.py
@@ -0,0 +1,117 @@
+"""Processor time, memory and bytes of control of idle entry instances."""
+
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from statistics import fmean, median
+
+from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.measure.layouts import control_layout
+from damasktide_standins.measure.machine import load_average, processor_s, resident_mb
+from damasktide_standins.measure.shutdown import kill_instances
+from damasktide_standins.measure.snapshots import INSTRUMENTED, bytes_per_s, take_snapshot
+
+INSTANCES = (2, 4, 9, 16)
+WARM_UP_S = 6.0
+MEASURED_S = 10.0
+_IMPORTS = "import gevent.monkey; gevent.monkey.patch_all(); import damasktide.cli, time; "
+_BARE = "from pathlib import Path; print(Path('/proc/self/statm').read_text().split()[1])"
+
+
+@dataclass(frozen=True, slots=True)
+class ControlCost:
+    """Cost of control of an idle instance, over all instances of a deployment.
+
+    Attributes
+    ----------
+    instances
+        Number of instances.
+    core_percent, worst_core_percent
+        Processor time in percent of a core, mean and largest.
+    resident_mb
+        Resident memory, median.
+    sent_kb_s, received_kb_s
+        Payload of TCP and UDP in KB/s, mean.
+    worst_sent_kb_s
+        The same, largest.
+    load
+        Load average before the run.
+    """
+
+    instances: int
+    core_percent: float
+    worst_core_percent: float
+    resident_mb: float
+    sent_kb_s: float
+    received_kb_s: float
+    worst_sent_kb_s: float
+    load: float
+
+
+def measure_control(instances: int) -> ControlCost:
+    """Measure plain processes for time and memory and instrumented ones for bytes."""
+    load = load_average()
+    layout = control_layout(instances)
+    with LocalCluster(layout) as cluster:
+        cores, memories = _time_and_memory(cluster)
+        kill_instances(cluster)
+    with LocalCluster(layout, INSTRUMENTED) as cluster:
+        sent, received = _traffic(cluster)
+        kill_instances(cluster)
+    return ControlCost(
+        instances=instances,
+        core_percent=fmean(cores),
+        worst_core_percent=max(cores),
+        resident_mb=median(memories),
+        sent_kb_s=fmean(sent),
+        received_kb_s=fmean(received),
+        worst_sent_kb_s=max(sent),
+        load=load,
+    )
+
+
+def bare_interpreter_mb() -> float:
+    """Return the resident memory of an interpreter that has only imported the product."""
+    command = [sys.executable, "-c", _IMPORTS + _BARE]
+    pages = int(subprocess.run(command, capture_output=True, check=True, text=True).stdout)
+    return pages * 4096 / 1e6
+
+
+def _time_and_memory(cluster: LocalCluster) -> tuple[list[float], list[float]]:
+    time.sleep(WARM_UP_S)
+    pids = [cluster.process_by_name[name].pid for name in cluster.instance_by_name]
+    before = [processor_s(pid) for pid in pids]
+    started = time.monotonic()
+    time.sleep(MEASURED_S)
+    spent_s = time.monotonic() - started
+    cores = [
+        100 * (processor_s(pid) - start) / spent_s for pid, start in zip(pids, before, strict=True)
+    ]
+    return cores, [resident_mb(pid) for pid in pids]
+
+
+def _traffic(cluster: LocalCluster) -> tuple[list[float], list[float]]:
+    time.sleep(WARM_UP_S)
+    names = list(cluster.instance_by_name)
+    before = {name: take_snapshot(cluster, name) for name in names}
+    time.sleep(MEASURED_S)
+    rates = [bytes_per_s(before[name], take_snapshot(cluster, name)) for name in names]
+    return (
+        [(rate.get("tcp_out", 0) + rate.get("udp_out", 0)) / 1000 for rate in rates],
+        [(rate.get("tcp_in", 0) + rate.get("udp_in", 0)) / 1000 for rate in rates],
+    )
+
+
+def control_costs(report: Callable[[str], None]) -> Iterator[ControlCost]:
+    """Yield the cost for each number of instances."""
+    for instances in INSTANCES:
+        cost = measure_control(instances)
+        report(
+            f"{instances:3} instances: core {cost.core_percent:.2f}% (worst "
+            f"{cost.worst_core_percent:.2f}%), {cost.resident_mb:.1f} MB, sent "
+            f"{cost.sent_kb_s:.2f} KB/s (worst {cost.worst_sent_kb_s:.2f}), received "
+            f"{cost.received_kb_s:.2f} KB/s; load {cost.load:.1f}"
+        )
+        yield cost
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/hop/__init__.py
@@ -0,0 +1,1 @@
+"""Throughput and added latency of the router against a bare hop."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/instrumented/__init__.py
@@ -0,0 +1,1 @@
+"""An entry instance that counts bytes and samples its stacks."""
--- /dev/null
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/ownership_churn.py
@@ -0,0 +1,87 @@
+"""Shards that move over the least possible."""
+
+import json
+import time
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+
+import gevent
+
+from damasktide.catalog.changes import Change
+from damasktide_standins.cluster.lists import change_document
+from damasktide_standins.cluster.local_cluster import LocalCluster
+from damasktide_standins.measure.maps import MapWatch
+from damasktide_standins.measure.registry import Sample, Target, measures
+
+CHURN = Target(1.1)
+
+
+@measures.register("churn: server leaves and returns")
+def server_churn(cluster: LocalCluster, seed: int) -> Iterator[Sample]:
+    """Let one server leave by the live list and come back."""
+    servers = [n for n in cluster.server_by_id if n.startswith(cluster.layout.services[0].name)]
+    gone = servers[seed % len(servers)]
+    yield from _churn(
+        cluster,
+        {gone},
+        "one server",
+        lambda: _set_state(cluster, gone, "leaving"),
+        lambda: _set_state(cluster, gone, "live"),
+    )
+
+
+@measures.register("churn: failure domain leaves and returns")
+def domain_churn(cluster: LocalCluster, seed: int) -> Iterator[Sample]:
+    """Take a failure domain out and bring it back."""
+    domains = list(cluster.layout.region_by_domain)
+    domain = domains[seed % len(domains)]
+    gone = {name for name, node in cluster.server_by_id.items() if node.domain == domain}
+    yield from _churn(
+        cluster,
+        gone,
+        "failure domain",
+        lambda: change_domain(cluster, "domain-out", domain),
+        lambda: change_domain(cluster, "domain-in", domain),
+    )
+
+
+def change_domain(cluster: LocalCluster, edit: str, domain: str) -> None:
+    """Take a failure domain out or bring it back."""
+    url = f"http://127.0.0.1:{cluster.platform_port}"
+    change_document(url, Change("measure", f"{edit}-{time.time_ns()}", edit, domain))
+
+
+def _churn(
+    cluster: LocalCluster,
+    gone: set[str],
+    name: str,
+    leave: Callable[[], None],
+    come_back: Callable[[], None],
+) -> Iterator[Sample]:
+    watch = MapWatch(cluster, cluster.layout.services[0].name)
+    try:
+        least = sum(watch.count_by_server()[server_id] for server_id in gone)
+        leave()
+        watch.settle()
+        yield Sample(f"churn, {name} leaves", watch.moves / max(1, least), "ratio", CHURN)
+        watch.moves = 0
+        come_back()
+        gevent.sleep(0.5)
+        watch.settle()
+        # The least is what the returned servers own now.
+        least = sum(watch.count_by_server()[server_id] for server_id in gone)
+        yield Sample(f"churn, {name} returns", watch.moves / max(1, least), "ratio", CHURN)
+    finally:
+        watch.close()
+
+
+def _set_state(cluster: LocalCluster, server_id: str, state: str) -> None:
+    url = f"http://127.0.0.1:{cluster.platform_port}/instances"
+    document = cluster.http.request("GET", url).json()
+    for entry in document["instances"]:
+        if entry["server_id"] == server_id:
+            entry["state"] = state
+    headers = {"Content-Type": "application/json"}
+    response = cluster.http.request("PUT", url, body=json.dumps(document), headers=headers)
+    if response.status != HTTPStatus.OK:
+        raise RuntimeError(f"the live list was not changed: status {response.status}")
--- a/packages/damasktide-standins/src/damasktide_standins/measure/slopes/__main__.py
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/slopes/__main__.py
@@ -7,11 +7,11 @@
 import click
 
 from damasktide_standins.measure.machine import describe
-from damasktide_standins.measure.slopes import membership_parts, ownership_parts
+from damasktide_standins.measure.slopes import discovery_parts, membership_parts, ownership_parts
 from damasktide_standins.measure.slopes.parts import PartResult, parts, run_part
 
 # Importing these modules fills the registry.
-_PART_MODULES = (ownership_parts, membership_parts)
+_PART_MODULES = (ownership_parts, discovery_parts, membership_parts)
 
 
 @click.command()
--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/scenarios.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/scenarios.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import gevent
 
@@ -55,9 +56,18 @@
 
 
 def set_platform_faults(cluster: LocalCluster, **faults: object) -> None:
-    """Change the faults of the stand-in of the platform."""
+    """Change the faults of the stand-in of the platform.
+
+    Raises
+    ------
+    RuntimeError
+        If the stand-in does not accept them.
+    """
     url = f"http://127.0.0.1:{cluster.platform_port}/faults"
-    cluster.http.request("POST", url, body=json.dumps(faults).encode())
+    headers = {"Content-Type": "application/json"}
+    response = cluster.http.request("PUT", url, body=json.dumps(faults), headers=headers)
+    if response.status != HTTPStatus.OK:
+        raise RuntimeError(f"the faults were not set: status {response.status}")
 
 
 def set_server_fault(cluster: LocalCluster, server_id: str, fault: str, **values: object) -> None:
