Keep lookups of the map and rankings of instances between ticks

Ruled out: fewer ticks, which would delay renewals and moves. Change: cached lookups in ShardMap and Roles, and the last 2,048 rankings.

--- a/packages/damasktide-standins/src/damasktide_standins/measure/traffic.py
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/traffic.py
@@ -11,7 +11,7 @@
 from damasktide_standins.measure.loads import LoadPlan, LoadResult, RunningLoad, run_load
 from damasktide_standins.measure.ownership_churn import change_domain
 from damasktide_standins.measure.registry import Sample, Target, measures
-from damasktide_standins.process_faults.scenarios import set_server_fault
+from damasktide_standins.process_faults.controls import set_server_fault
 
 RATE = 400.0
 LOAD_PROCESSES = 2
--- a/packages/damasktide-standins/src/damasktide_standins/measure/unavailability.py
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/unavailability.py
@@ -8,9 +8,9 @@
 from damasktide_standins.cluster.local_cluster import LocalCluster
 from damasktide_standins.measure.maps import keys_of
 from damasktide_standins.measure.registry import Sample, Target, measures
+from damasktide_standins.process_faults.controls import set_platform_faults
 from damasktide_standins.process_faults.load import Callers
 from damasktide_standins.process_faults.observer import longest_gap_s
-from damasktide_standins.process_faults.scenarios import set_platform_faults
 
 KEYS = 16
 # Part of each figure, because a gap is seen between two requests of a caller.
--- a/packages/damasktide/src/damasktide/ownership/placement.py
+++ b/packages/damasktide/src/damasktide/ownership/placement.py
@@ -192,7 +192,7 @@
 
 
 def _owns_shards(shard_map: ShardMap, server_id: str) -> bool:
-    return any(server.server_id == server_id for server in shard_map.servers)
+    return server_id in shard_map.server_by_id()
 
 
 def _has_joined(contacts: Contacts, server_id: str, now: float) -> bool:
--- a/packages/damasktide/src/damasktide/ownership/renewals.py
+++ b/packages/damasktide/src/damasktide/ownership/renewals.py
@@ -70,8 +70,8 @@
 
     def _probes(self, server: OwnerServer, view: View) -> bool:
         """Return whether this instance plans joins and the server owns nothing yet."""
-        owner_ids = {owner.server_id for owner in view.shard_map.servers}
-        return view.roles.is_placer() and server.server_id not in owner_ids
+        owns_nothing = server.server_id not in view.shard_map.server_by_id()
+        return owns_nothing and view.roles.is_placer()
 
     def _may_grant(self, server: OwnerServer, contact: Contact, view: View) -> bool:
         right_until = self._authority.valid_until(server.domain, view.shard_map.confirmers)
--- a/packages/damasktide/src/damasktide/ownership/roles.py
+++ b/packages/damasktide/src/damasktide/ownership/roles.py
@@ -4,8 +4,9 @@
 instances that both believe they have a duty.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from functools import cached_property, lru_cache
 from hashlib import blake2b
 
 from damasktide.membership.instances import Instance
@@ -17,16 +18,24 @@
 SAMPLE_PER_DOMAIN = 5
 
 
+# Enough for the duties of one instance at the design size; membership seldom changes.
+_KEPT_RANKINGS = 2048
+
+
 def rendezvous(key: str, candidate_ids: Iterable[str]) -> list[str]:
     """Return the candidates by descending rendezvous hash of ``key``."""
+    return list(_ranking(key, tuple(candidate_ids)))
+
 
+@lru_cache(maxsize=_KEPT_RANKINGS)
+def _ranking(key: str, candidate_ids: tuple[str, ...]) -> tuple[str, ...]:
     def weight(candidate_id: str) -> bytes:
         return blake2b(f"{key}|{candidate_id}".encode(), digest_size=8).digest()
 
-    return sorted(candidate_ids, key=weight, reverse=True)
+    return tuple(sorted(candidate_ids, key=weight, reverse=True))
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Roles:
     """Duties of the instances that one instance believes to be alive.
 
@@ -95,16 +104,19 @@
         if not ids:
             ids = self._ids_in(confirmers.witness_of(server.domain))
         if not ids:
-            ids = [instance.instance_id for instance in self.alive]
+            ids = tuple(instance.instance_id for instance in self.alive)
         return rendezvous(f"server/{server.server_id}", ids)[:RENEWERS_PER_SERVER]
 
     def controls(self, server: OwnerServer, confirmers: ConfirmerSet) -> bool:
         """Return whether this instance controls the moves of ``server``."""
         return self.renewers(server, confirmers)[:1] == [self.instance_id]
 
-    def has_instances(self, domain: str) -> bool:
-        """Return whether any instance of ``domain`` is believed to be alive."""
-        return any(instance.domain == domain for instance in self.alive)
+    def _ids_in(self, domain: str | None) -> tuple[str, ...]:
+        return self._ids_by_domain.get(domain, ())
 
-    def _ids_in(self, domain: str | None) -> list[str]:
-        return [i.instance_id for i in self.alive if i.domain == domain]
+    @cached_property
+    def _ids_by_domain(self) -> Mapping[str | None, tuple[str, ...]]:
+        ids_by_domain: dict[str | None, list[str]] = {}
+        for instance in self.alive:
+            ids_by_domain.setdefault(instance.domain, []).append(instance.instance_id)
+        return {domain: tuple(ids) for domain, ids in ids_by_domain.items()}
--- a/packages/damasktide/src/damasktide/ownership/shard_map.py
+++ b/packages/damasktide/src/damasktide/ownership/shard_map.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from functools import cached_property
+from types import MappingProxyType
 from typing import Any
 
 NO_OWNER = -1
@@ -108,7 +110,7 @@
         return frozenset(name for ids in self.ids_by_domain.values() for name in ids)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class ShardMap:
     """Who owns which shard.
 
@@ -143,27 +145,42 @@
         """The current confirmer set."""
         return self.confirmer_sets[-1] if self.confirmer_sets else ConfirmerSet(0, {}, {})
 
-    def server_by_id(self) -> dict[str, OwnerServer]:
+    def server_by_id(self) -> Mapping[str, OwnerServer]:
         """Return the named servers by id."""
-        return {server.server_id: server for server in self.servers}
+        return self._server_by_id
 
-    def pending_by_shard(self) -> dict[int, PendingMove]:
+    def pending_by_shard(self) -> Mapping[int, PendingMove]:
         """Return the pending moves by shard."""
-        return {move.shard: move for move in self.pending}
+        return self._pending_by_shard
 
-    def granted_shards_by_server(self) -> dict[str, tuple[int, ...]]:
+    def granted_shards_by_server(self) -> Mapping[str, tuple[int, ...]]:
         """Return the shards that each server may be granted: owned and not pending."""
-        pending = self.pending_by_shard()
+        return self._granted_shards_by_server
+
+    # A map does not change, and the decisions look these up at each tick.
+
+    @cached_property
+    def _server_by_id(self) -> Mapping[str, OwnerServer]:
+        return MappingProxyType({server.server_id: server for server in self.servers})
+
+    @cached_property
+    def _pending_by_shard(self) -> Mapping[int, PendingMove]:
+        return MappingProxyType({move.shard: move for move in self.pending})
+
+    @cached_property
+    def _granted_shards_by_server(self) -> Mapping[str, tuple[int, ...]]:
         shards_by_server: dict[str, list[int]] = {server.server_id: [] for server in self.servers}
         for shard, index in enumerate(self.owners):
-            if index != NO_OWNER and shard not in pending:
+            if index != NO_OWNER and shard not in self._pending_by_shard:
                 shards_by_server[self.servers[index].server_id].append(shard)
-        return {server_id: tuple(shards) for server_id, shards in shards_by_server.items()}
+        return MappingProxyType(
+            {server_id: tuple(shards) for server_id, shards in shards_by_server.items()}
+        )
 
     def owner_of(self, shard: int) -> OwnerServer | None:
         """Return the owner of ``shard``, or None while it has none or its move is pending."""
         index = self.owners[shard]
-        if index == NO_OWNER or any(move.shard == shard for move in self.pending):
+        if index == NO_OWNER or shard in self._pending_by_shard:
             return None
         return self.servers[index]
 
@@ -190,14 +207,16 @@
     owner of a move that is already pending is replaced; its old owner stays.
     """
     version = shard_map.version + 1
-    server_by_id = shard_map.server_by_id() | {server.server_id: server for server in servers}
+    server_by_id = dict(shard_map.server_by_id()) | {
+        server.server_id: server for server in servers
+    }
     ordered = tuple(server_by_id[server_id] for server_id in sorted(server_by_id))
     index_by_id = {server.server_id: index for index, server in enumerate(ordered)}
     owners = [
         NO_OWNER if index == NO_OWNER else index_by_id[shard_map.servers[index].server_id]
         for index in shard_map.owners
     ]
-    pending = shard_map.pending_by_shard()
+    pending = dict(shard_map.pending_by_shard())
     for shard, new_owner, cause in moves:
         old_index = shard_map.owners[shard]
         if shard in pending and pending[shard].old_owner == new_owner:
