Add process faults for requests, cold starts and replacement; leave peers time to reply

Cause: a request forwarded to a peer got the same deadline there as here, so a refusal "not run" of the peer came too late and the caller was told outcome_unknown. A deadline that passed during the wait for an owner was reported as deadline_too_short. Two refusals did not name the place of the bad input. Ruled out: a lost reply on the peer link; all unknown outcomes came 3.0 s after the request, at its deadline. Change: the peer gives up 0.1 s (at most a quarter of the remaining time) earlier; the router keeps the reason for which a request waits; plan checks name Authorization and body. New scenarios: cold start, rolling replacement, gatekeeper killed, late and crossed responses, bad requests, volume, damasktidectl.

--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/runner.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/runner.py
@@ -7,13 +7,33 @@
 import gevent
 
 from damasktide_standins.cluster.local_cluster import LocalCluster
-from damasktide_standins.process_faults import configuration, home_regions, leaving, losses
+from damasktide_standins.process_faults import (
+    cold_start,
+    configuration,
+    home_regions,
+    late_answers,
+    leaving,
+    losses,
+    operators,
+    refusals,
+    replacement,
+)
 from damasktide_standins.process_faults.load import Callers
 from damasktide_standins.process_faults.observer import faults
 from damasktide_standins.process_faults.registry import Findings, scenarios
 
 # Importing these modules fills the registry.
-SUBJECTS = (losses, home_regions, configuration, leaving)
+SUBJECTS = (
+    losses,
+    home_regions,
+    configuration,
+    leaving,
+    cold_start,
+    replacement,
+    late_answers,
+    refusals,
+    operators,
+)
 KEYS = tuple(f"line-{number}" for number in range(1, 7))
 WARM_UP_S = 1.0
 
--- a/packages/damasktide/src/damasktide/catalog/plan_checks.py
+++ b/packages/damasktide/src/damasktide/catalog/plan_checks.py
@@ -61,7 +61,9 @@
     """
     customer = catalog.customer_by_token_hash.get(token_hash)
     if customer is None:
-        return _refuse(RefusalCode.UNKNOWN_CUSTOMER, "the token belongs to no customer")
+        return _refuse(
+            RefusalCode.UNKNOWN_CUSTOMER, "Authorization: the token belongs to no customer"
+        )
     plan = catalog.plan_by_name[customer.plan]
     if service not in plan.services:
         detail = f"plan {plan.name} does not include service {service}"
@@ -72,7 +74,7 @@
         detail = f"home region {outside[0]} is not open to customer {customer.name}"
         return _refuse(RefusalCode.REGION_NOT_IN_PLAN, detail)
     if body_bytes > plan.max_body_bytes:
-        detail = f"the body has more than {plan.max_body_bytes} bytes"
+        detail = f"body: more than {plan.max_body_bytes} bytes"
         return _refuse(RefusalCode.BODY_TOO_LARGE, detail)
     home_regions = requested_home_regions or customer.home_regions
     return Success(Entitlement(customer, plan, home_regions))
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.result import Success
 
@@ -31,6 +31,10 @@
 
 FORWARD_KIND = "forwarding/run"
 
+# The peer gives up this much earlier, or its refusal "not run" would arrive too late and the
+# caller would be told that the outcome is unknown. It covers a round trip between regions.
+PEER_REPLY_S = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceParts:
@@ -117,7 +121,7 @@
         remaining_s = admitted.request.deadline - time.monotonic()
         if peer is None or remaining_s <= 0:
             return Refusal(RefusalCode.NO_OWNER, f"instance {instance_id} is not reachable", 1)
-        body = codec.encode_request(admitted)
+        body = codec.encode_request(_with_time_to_reply(admitted, remaining_s))
         reply = self._parts.peers.call(peer.host, peer.peer_port, FORWARD_KIND, body, remaining_s)
         if isinstance(reply, Success):
             return codec.decode_result(reply.unwrap())
@@ -180,6 +184,13 @@
             limiter.tell(Leave(verdict.ticket))
 
 
+def _with_time_to_reply(admitted: AdmittedRequest, remaining_s: float) -> AdmittedRequest:
+    """Return the request with a deadline that leaves the peer time to reply."""
+    reply_s = min(PEER_REPLY_S, remaining_s / 4)
+    request = replace(admitted.request, deadline=admitted.request.deadline - reply_s)
+    return replace(admitted, request=request)
+
+
 def _outcome_of(result: Answer | Refusal) -> RequestOutcome:
     if isinstance(result, Answer):
         return Completed(result.status, result.content_type, result.body)
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -21,6 +21,8 @@
 OWNER_WAIT_S = 2.0
 OWNER_POLL_S = 0.05
 
+_DEADLINE_PASSED = Refusal(RefusalCode.DEADLINE_TOO_SHORT, "the deadline has passed")
+
 _OUTCOME_BY_KIND = {
     FailureKind.NOT_CONNECTED: CallOutcome.RESET,
     FailureKind.NOT_OWNER: CallOutcome.FAILED,
@@ -88,11 +90,12 @@
         while True:
             remaining_s = admitted.request.deadline - time.monotonic()
             if remaining_s <= 0:
-                return Refusal(RefusalCode.DEADLINE_TOO_SHORT, "the deadline has passed")
+                return tries.refusal or _DEADLINE_PASSED
             destination = find(route, admitted, tries.server_ids)
             if isinstance(destination, Refusal):
                 if destination.code is not RefusalCode.NO_OWNER or tries.is_owner_overdue():
                     return destination
+                tries.refusal = destination
                 self._wait_for_owner()
                 continue
             if not admitted.is_keyed:
@@ -115,6 +118,7 @@
             # The owner changes; waiting for the next one puts no load on a backend server.
             if tries.is_owner_overdue():
                 return refusal
+            tries.refusal = refusal
             self._wait_for_owner()
             return None
         call = FailedCall(admitted.is_idempotent, failure.kind.is_not_run, tries.count - 1)
@@ -153,6 +157,8 @@
         self._wait_until = wait_until
         self.server_ids: tuple[str, ...] = ()
         self.may_have_run = False
+        # Why the request waits; a deadline that passes meanwhile does not hide the reason.
+        self.refusal: Refusal | None = None
 
     @property
     def count(self) -> int:
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_peer_requests.py
@@ -0,0 +1,86 @@
+import time
+import unittest
+from types import SimpleNamespace
+from typing import Any, cast
+
+from returns.result import Failure
+
+from damasktide.admission.refusals import Refusal, RefusalCode
+from damasktide.admission.request import AdmittedRequest, CallerRequest
+from damasktide.forwarding import codec
+from damasktide.forwarding.destinations import destination_finders
+from damasktide.forwarding.request_service import RequestService, ServiceParts
+from damasktide.forwarding.router import Router
+from damasktide.peering.calls import PeerError
+
+PEER = "oyo-a-1#1"
+
+
+def booking(timeout_s: float) -> AdmittedRequest:
+    request = CallerRequest(
+        request_id="a",
+        has_given_id=True,
+        attempt=1,
+        method="POST",
+        service="batch-desk",
+        operation="bookings",
+        key="oyo:1",
+        query="",
+        content_type="",
+        body=b"",
+        deadline=time.monotonic() + timeout_s,
+        home_regions=None,
+        token="",
+    )
+    return AdmittedRequest(request, "ada", frozenset({"oyo"}), is_idempotent=False, is_keyed=True)
+
+
+class PeerRequestTest(unittest.TestCase):
+    def wait_of(self, timeout_s: float) -> tuple[float, float]:
+        """Return for how long the peer may run and for how long the instance waits."""
+        seen: list[tuple[float, float]] = []
+
+        def call(_host: str, _port: int, _kind: str, body: bytes, wait_s: float) -> Any:
+            remaining_s = codec.decode_request(body).request.deadline - time.monotonic()
+            seen.append((remaining_s, wait_s))
+            return Failure(PeerError(False, "no reply"))
+
+        alive = [SimpleNamespace(instance_id=PEER, host="127.0.0.1", peer_port=1)]
+        view = SimpleNamespace(value=SimpleNamespace(alive=alive))
+        parts = cast(ServiceParts, SimpleNamespace(view=view, peers=SimpleNamespace(call=call)))
+        result = RequestService(parts)._run_at_peer(booking(timeout_s), PEER)
+        assert isinstance(result, Refusal)
+        self.assertIs(result.code, RefusalCode.OUTCOME_UNKNOWN)
+        return seen[0]
+
+    def test_peer_gives_up_first(self) -> None:
+        """Guards against a peer whose refusal "not run" comes after the caller's deadline."""
+        peer_s, own_s = self.wait_of(3.0)
+        self.assertGreaterEqual(own_s - peer_s, 0.09)
+        peer_s, own_s = self.wait_of(0.1)
+        self.assertGreater(peer_s, 0.05)
+        self.assertGreater(own_s, peer_s)
+
+
+class OwnerWaitTest(unittest.TestCase):
+    def test_deadline_during_the_wait_for_an_owner_is_no_owner(self) -> None:
+        """Guards against a missing owner that is reported as a deadline that was too short."""
+        tell = SimpleNamespace(tell=lambda _message: None)
+        router = Router(
+            {"batch-desk": cast(Any, None)},
+            cast(Any, None),
+            *(cast(Any, tell),) * 2,
+            lambda _reason: None,
+        )
+        finder = destination_finders._item_by_key[True]
+        self.addCleanup(destination_finders._item_by_key.__setitem__, True, finder)
+        no_owner = Refusal(RefusalCode.NO_OWNER, "none")
+        destination_finders._item_by_key[True] = lambda _route, _admitted, _tried: no_owner
+        self.assertEqual(router.route(booking(0.2), 1), no_owner)
+        passed = router.route(booking(-0.1), 1)
+        assert isinstance(passed, Refusal)
+        self.assertIs(passed.code, RefusalCode.DEADLINE_TOO_SHORT)
+
+
+if __name__ == "__main__":
+    unittest.main()
