Halve the limit of a target that sheds

Cause: only the two renewers of a backend server see its new boot id; the other instances kept sending their whole share to a cold server, which collapsed under unkeyed reads. Ruled out: polling the load report of each target at each instance, whose bytes grow with instances times targets. Change: each shed request halves the limit and the ramp goes on from there, also for keyed requests. Conclusion: a single cold server is protected; a whole cold domain is not yet.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -119,6 +119,12 @@
             state.add_report(now, report.in_flight, report.age_s)
             self.see_boot(now, report.server_id, report.boot_id)
 
+    def see_shed(self, now: float, server_id: str) -> None:
+        """Take in that a target shed a keyed request, which took no slot here."""
+        state = self._state_by_server.get(server_id)
+        if state is not None:
+            self._learn_shed(now, state)
+
     def see_boot(self, now: float, server_id: str, boot_id: str) -> None:
         """Take in a boot id; a new one starts the cold-start ramp."""
         state = self._state_by_server.get(server_id)
@@ -216,11 +222,17 @@
             if outcome is CallOutcome.RESET:
                 state.ramp.on_reset(now)
         elif outcome is CallOutcome.SHED:
-            # A shed request is a fresh report that all slots are taken.
-            state.add_report(now, state.target.slots, 0.0)
+            self._learn_shed(now, state)
         if outcome in (CallOutcome.OK, CallOutcome.TIMED_OUT, CallOutcome.CANCELLED):
             self._learn_latency(now, state, done)
 
+    @staticmethod
+    def _learn_shed(now: float, state: TargetState) -> None:
+        # A shed request is a fresh report that all slots are taken.
+        state.add_report(now, state.target.slots, 0.0)
+        state.ramp.on_shed(now, state.target.slots)
+        state.refresh_limit(now)
+
     def _learn_latency(self, now: float, state: TargetState, done: Done) -> None:
         latency_s, median_s = done.latency_s, self._median_s
         if done.outcome is CallOutcome.CANCELLED and latency_s < median_s:
--- a/packages/damasktide/src/damasktide/balancing/ramp.py
+++ b/packages/damasktide/src/damasktide/balancing/ramp.py
@@ -45,6 +45,16 @@
         self.start(now)
         return True
 
+    def on_shed(self, now: float, slots: int) -> None:
+        """Take in a request that the target shed: halve the limit and grow again from there.
+
+        The instances together use no more than all slots, so a target that sheds bears less
+        than that. Instances that have not learned of a cold start notice it by this.
+        """
+        halved = max(1, self.limit(now, slots) // 2)
+        grown = (halved - 1) / max(1, slots - 1)
+        self._started_at = now - RAMP_S * grown
+
     def is_active(self, now: float) -> bool:
         """Return whether the target is still in its ramp."""
         return self._started_at is not None and now < self._started_at + RAMP_S
--- a/packages/damasktide/src/damasktide/balancing/tests/test_protection.py
+++ b/packages/damasktide/src/damasktide/balancing/tests/test_protection.py
@@ -62,6 +62,18 @@
         self.assertEqual(self.peak_use([(0.0, fast), (0.0, slow)])[0], 6)
         self.assertEqual(self.peak_use([(0.0, fast), (0.0, reset)])[0], 6)
 
+    def test_shed_requests_shrink_the_limit(self) -> None:
+        """Guards against a cold target that sheds, but whose new boot id nobody has seen."""
+        limits = []
+        subject = balancer(near_targets(1))
+        for _ in range(3):
+            subject.pick(0.0, Pick())
+            subject.finish(0.0, Done("s0", 0.01, CallOutcome.SHED))
+            limits.append(subject.status(0.0).status_by_server["s0"].limit)
+        subject.refresh(10.0)
+        limits.append(subject.status(10.0).status_by_server["s0"].limit)
+        self.assertEqual(limits, [3, 1, 1, 6])
+
     def test_instances_together_stay_within_the_ramp(self) -> None:
         """Guards against every instance sending its own first request to a cold target."""
         subjects = [balancer(near_targets(1)) for _ in range(10)]
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -8,7 +8,7 @@
 
 from damasktide.admission.refusals import Outcome, Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest, Answer
-from damasktide.balancing.messages import CallOutcome, Done
+from damasktide.balancing.messages import CallOutcome, Done, ShedSeen
 from damasktide.forwarding.backoff import Backoff, FailedCall, Retry
 from damasktide.forwarding.destinations import ServiceRoute, destination_finders
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
@@ -176,7 +176,10 @@
     ) -> Answer | UpstreamFailure:
         started = time.monotonic()
         result = self._upstream.send(admitted.request, destination, remaining_s)
-        if not admitted.is_keyed:
+        if admitted.is_keyed:
+            if isinstance(result, UpstreamFailure) and result.kind is FailureKind.SHED:
+                route.balancer.tell(ShedSeen(destination.server_id))
+        else:
             outcome = CallOutcome.OK
             if isinstance(result, UpstreamFailure):
                 outcome = _OUTCOME_BY_KIND[result.kind]
