Take the owner's slot at the balancer for keyed requests

Cause: keyed and unkeyed requests took the slots of a target in separate counts, so an instance sent two requests to a cold server with one slot. Ruled out: a lower ramp, which would slow down every warm-up. Change: keyed requests pick their owner at the balancer and are refused as overloaded, not run, while it has no free slot; an owner that is not listed or leaving is asked without a slot.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -119,12 +119,6 @@
             state.add_report(now, report.in_flight, report.age_s)
             self.see_boot(now, report.server_id, report.boot_id)
 
-    def see_shed(self, now: float, server_id: str) -> None:
-        """Take in that a target shed a keyed request, which took no slot here."""
-        state = self._state_by_server.get(server_id)
-        if state is not None:
-            self._learn_shed(now, state)
-
     def see_boot(self, now: float, server_id: str, boot_id: str) -> None:
         """Take in a boot id; a new one starts the cold-start ramp."""
         state = self._state_by_server.get(server_id)
--- a/packages/damasktide/src/damasktide/balancing/messages.py
+++ b/packages/damasktide/src/damasktide/balancing/messages.py
@@ -141,13 +141,6 @@
     age_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class ShedSeen:
-    """A target shed a keyed request."""
-
-    server_id: str
-
-
 @dataclass(frozen=True, slots=True)
 class BootSeen:
     """A boot id learned by other means than a load report, such as a grant response."""
--- a/packages/damasktide/src/damasktide/balancing/task.py
+++ b/packages/damasktide/src/damasktide/balancing/task.py
@@ -15,7 +15,6 @@
     Pick,
     Picked,
     SharesChanged,
-    ShedSeen,
     TargetsChanged,
 )
 from damasktide.balancing.policies import balancing_policies
@@ -108,12 +107,6 @@
     def _report_load(self, message: LoadReported) -> None:
         self._balancer.report_load(self._clock.now(), message)
 
-    @handles(ShedSeen)
-    def _see_shed(self, message: ShedSeen) -> None:
-        now = self._clock.now()
-        self._balancer.see_shed(now, message.server_id)
-        self._publish(now)
-
     @handles(BootSeen)
     def _see_boot(self, message: BootSeen) -> None:
         self._balancer.see_boot(self._clock.now(), message.server_id, message.boot_id)
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -5,7 +5,7 @@
 
 from damasktide.admission.refusals import Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest
-from damasktide.balancing.messages import NoPickReason, Pick, Picked
+from damasktide.balancing.messages import NoPick, NoPickReason, Pick, Picked
 from damasktide.balancing.task import BalancerTask
 from damasktide.forwarding.hedging import HedgePlan, HedgingTask
 from damasktide.forwarding.upstream import Destination
@@ -105,6 +105,9 @@
     if not route.grants_checked and owner.domain != route.domain:
         detail = f"only instances of {owner.domain} may send to its servers"
         return Refusal(RefusalCode.NO_OWNER, detail, 1)
+    picked = route.balancer.ask(Pick(owner=owner.server_id, link_bytes=_size_of(admitted)))
+    if isinstance(picked, NoPick) and picked.reason is NoPickReason.NO_FREE_SLOT:
+        return _refusal_for(picked.reason)
     return Destination(
         owner.server_id,
         owner.host,
@@ -113,9 +116,15 @@
         found.map_version,
         send_until=_send_until(route),
         max_call_s=route.max_deadline_s,
+        # An owner that the live list no longer names, or as leaving, still has to be asked.
+        takes_slot=isinstance(picked, Picked),
     )
 
 
+def _size_of(admitted: AdmittedRequest) -> int:
+    return len(admitted.request.body)
+
+
 def _send_until(route: ServiceRoute) -> float | None:
     """Return when a call to the owner has to end, or None if the owner itself checks grants."""
     return None if route.grants_checked else route.owners.value.right_until
@@ -129,7 +138,7 @@
     pick = Pick(
         exclude=tried,
         allowed_regions=admitted.allowed_regions,
-        link_bytes=len(admitted.request.body),
+        link_bytes=_size_of(admitted),
     )
     picked = route.balancer.ask(pick)
     if isinstance(picked, Picked):
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -8,7 +8,7 @@
 
 from damasktide.admission.refusals import Outcome, Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest, Answer
-from damasktide.balancing.messages import CallOutcome, Done, ShedSeen
+from damasktide.balancing.messages import CallOutcome, Done
 from damasktide.forwarding.backoff import Backoff, FailedCall, Retry
 from damasktide.forwarding.destinations import ServiceRoute, destination_finders
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
@@ -28,7 +28,7 @@
 
 _OUTCOME_BY_KIND = {
     FailureKind.NOT_CONNECTED: CallOutcome.RESET,
-    FailureKind.NOT_OWNER: CallOutcome.FAILED,
+    FailureKind.NOT_OWNER: CallOutcome.CANCELLED,
     FailureKind.NO_RIGHT: CallOutcome.CANCELLED,
     FailureKind.SHED: CallOutcome.SHED,
     FailureKind.TIMED_OUT: CallOutcome.TIMED_OUT,
@@ -176,15 +176,13 @@
     ) -> Answer | UpstreamFailure:
         started = time.monotonic()
         result = self._upstream.send(admitted.request, destination, remaining_s)
-        if admitted.is_keyed:
-            if isinstance(result, UpstreamFailure) and result.kind is FailureKind.SHED:
-                route.balancer.tell(ShedSeen(destination.server_id))
-        else:
+        latency_s = time.monotonic() - started
+        if not admitted.is_keyed:
+            route.hedging.tell(CallObserved(latency_s))
+        if destination.takes_slot:
             outcome = CallOutcome.OK
             if isinstance(result, UpstreamFailure):
                 outcome = _OUTCOME_BY_KIND[result.kind]
-            latency_s = time.monotonic() - started
-            route.hedging.tell(CallObserved(latency_s))
             route.balancer.tell(Done(destination.server_id, latency_s, outcome))
         return result
 
--- a/packages/damasktide/src/damasktide/forwarding/tests/test_destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_destinations.py
@@ -3,6 +3,8 @@
 
 from damasktide.admission.refusals import Refusal, RefusalCode
 from damasktide.admission.request import AdmittedRequest
+from damasktide.balancing.messages import NoPick, NoPickReason, Picked
+from damasktide.balancing.targets import Target
 from damasktide.forwarding.destinations import ServiceRoute, find_owner
 from damasktide.forwarding.hedging import HedgePlan
 from damasktide.forwarding.upstream import Destination
@@ -15,7 +17,10 @@
 SERVER = OwnerServer("s1", "ondo-a", "ondo", "127.0.0.1", 1)
 
 
-def route(grants_checked: bool, domain: str) -> ServiceRoute:
+PICKED = Picked(Target("s1", "lot-ledger", "ondo-a", "ondo", "127.0.0.1", 1))
+
+
+def route(grants_checked: bool, domain: str, reply: Picked | NoPick = PICKED) -> ServiceRoute:
     shard_map = ShardMap("lot-ledger", 3, (SERVER,), (0,) * 6)
     snapshot = OwnerSnapshot(shard_map, (SERVER,) * 5 + (None,), right_until=9.0)
     return ServiceRoute(
@@ -25,14 +30,14 @@
         Published(snapshot),
         max_deadline_s=0.3,
         grants_checked=grants_checked,
-        balancer=mock.Mock(),
+        balancer=mock.Mock(ask=lambda _pick: reply),
         hedging=mock.Mock(),
         hedge_plan=Published(HedgePlan()),
     )
 
 
 def find(chosen: ServiceRoute, key: str, regions: set[str]) -> Destination | Refusal:
-    request = mock.Mock(key=key)
+    request = mock.Mock(key=key, body=b"")
     admitted = AdmittedRequest(request, "crew", frozenset(regions), False, True)
     return find_owner(chosen, admitted, ())
 
@@ -50,6 +55,16 @@
         assert isinstance(checked, Destination)
         self.assertIsNone(checked.send_until)
 
+    def test_owner_without_a_free_slot_is_spared(self) -> None:
+        """Guards against keyed work on top of what a cold owner can bear."""
+        full = route(True, "ondo-a", NoPick(NoPickReason.NO_FREE_SLOT))
+        refusal = find(full, "ondo:lot-1", {"ondo"})
+        assert isinstance(refusal, Refusal)
+        self.assertEqual(refusal.code, RefusalCode.OVERLOADED)
+        unlisted = find(route(True, "ondo-a", NoPick(NoPickReason.LEAVING)), "ondo:x", {"ondo"})
+        assert isinstance(unlisted, Destination)
+        self.assertFalse(unlisted.takes_slot)
+
     def test_request_never_leaves_its_regions(self) -> None:
         """Guards against a request that is sent to an owner outside its home regions."""
         refusal = find(route(True, "ondo-a"), "lot-1", {"oyo"})
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -47,6 +47,8 @@
         or None.
     max_call_s
         Longest time of a call in seconds, or None.
+    takes_slot
+        Whether the balancer has taken a slot of the target for the call.
     """
 
     server_id: str
@@ -57,6 +59,7 @@
     connections: int = 110
     send_until: float | None = None
     max_call_s: float | None = None
+    takes_slot: bool = True
 
     def call_s(self, remaining_s: float, now: float) -> float:
         """Return the seconds that a call may take from ``now`` on; 0 or less for none."""
