Split the codec from the shard map and drop unused hot-key fields

Ruled out: building hot keys now; without a fence for senders with an older map they could have two owners.

--- a/packages/damasktide-standins/src/damasktide_standins/measure/maps.py
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/maps.py
@@ -6,7 +6,8 @@
 import gevent
 from returns.result import Success
 
-from damasktide.ownership.shard_map import NO_OWNER, ShardMap, decode_map
+from damasktide.ownership.shard_map import NO_OWNER, ShardMap
+from damasktide.ownership.shard_map_codec import decode_map
 from damasktide.store.endpoints import StoreEndpoints
 from damasktide.store.messages import ReadRow
 from damasktide.store.store_task import StoreTask
--- a/packages/damasktide-standins/src/damasktide_standins/measure/slopes/ownership_parts.py
+++ b/packages/damasktide-standins/src/damasktide_standins/measure/slopes/ownership_parts.py
@@ -4,7 +4,8 @@
 
 from damasktide.ownership.codec import encode_confirm_reply
 from damasktide.ownership.planner import Candidates, plan_moves
-from damasktide.ownership.shard_map import MoveCause, ShardMap, decode_map, encode_map
+from damasktide.ownership.shard_map import MoveCause, ShardMap
+from damasktide.ownership.shard_map_codec import decode_map, encode_map
 from damasktide.ownership.shards import ShardSpace
 from damasktide_standins.measure.slopes.parts import kept_bytes, part, time_us
 from damasktide_standins.measure.slopes.worlds import (
--- a/packages/damasktide/src/damasktide/assembly/services.py
+++ b/packages/damasktide/src/damasktide/assembly/services.py
@@ -21,7 +21,7 @@
 from damasktide.ownership.messages import AdoptRequested, ConfirmRequested, OwnerSnapshot
 from damasktide.ownership.server_client import ServerClient
 from damasktide.ownership.service_ownership import OwnershipSettings
-from damasktide.ownership.shard_map import encode_map
+from damasktide.ownership.shard_map_codec import encode_map
 from damasktide.ownership.shards import ShardSpace
 from damasktide.ownership.task import OwnershipTask
 from damasktide.peering.client import PeerClient
--- a/packages/damasktide/src/damasktide/assembly/version_puller.py
+++ b/packages/damasktide/src/damasktide/assembly/version_puller.py
@@ -17,7 +17,7 @@
 from damasktide.ownership.codec import encode_service
 from damasktide.ownership.executor import MAP_KIND
 from damasktide.ownership.messages import AdoptRequested
-from damasktide.ownership.shard_map import decode_map
+from damasktide.ownership.shard_map_codec import decode_map
 from damasktide.peering.client import PeerClient
 from damasktide.runtime.registry import Registry
 from damasktide.runtime.task import Task, handles
--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -11,7 +11,7 @@
 from damasktide.forwarding.upstream import Destination
 from damasktide.ownership.messages import OwnerSnapshot
 from damasktide.ownership.shard_map import OwnerServer
-from damasktide.ownership.shards import ShardSpace, key_hash
+from damasktide.ownership.shards import ShardSpace
 from damasktide.runtime.published import Published
 from damasktide.runtime.registry import Registry
 
@@ -84,7 +84,7 @@
     if snapshot.shard_map is None:
         return Refusal(RefusalCode.NO_OWNER, "no shard map has been adopted yet", 1)
     shard = route.space.shard_of(key)
-    owner = _hot_owner(snapshot, key) or snapshot.owner_by_shard[shard]
+    owner = snapshot.owner_by_shard[shard]
     if owner is None:
         return Refusal(RefusalCode.NO_OWNER, f"shard {shard} has no owner at the moment", 1)
     if owner.region not in admitted.allowed_regions:
@@ -149,15 +149,6 @@
     return _refusal_for(picked.reason)
 
 
-def _hot_owner(snapshot: OwnerSnapshot, key: str) -> OwnerServer | None:
-    assert snapshot.shard_map is not None
-    hot_owner_by_key_hash = snapshot.shard_map.hot_owner_by_key_hash
-    if not hot_owner_by_key_hash:
-        return None
-    server_id = hot_owner_by_key_hash.get(key_hash(key))
-    return snapshot.shard_map.server_by_id().get(server_id) if server_id else None
-
-
 _CODE_BY_REASON = {
     NoPickReason.NO_FREE_SLOT: RefusalCode.OVERLOADED,
     NoPickReason.LINK_BUDGET: RefusalCode.OVERLOADED,
--- a/packages/damasktide/src/damasktide/ownership/codec.py
+++ b/packages/damasktide/src/damasktide/ownership/codec.py
@@ -5,7 +5,8 @@
 import capnp
 
 from damasktide.ownership.effects import ConfirmReply
-from damasktide.ownership.shard_map import ShardMap, decode_map, encode_map
+from damasktide.ownership.shard_map import ShardMap
+from damasktide.ownership.shard_map_codec import decode_map, encode_map
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
--- a/packages/damasktide/src/damasktide/ownership/executor.py
+++ b/packages/damasktide/src/damasktide/ownership/executor.py
@@ -29,7 +29,8 @@
     TableRead,
 )
 from damasktide.ownership.server_client import ServerClient
-from damasktide.ownership.shard_map import ShardMap, decode_map, encode_map
+from damasktide.ownership.shard_map import ShardMap
+from damasktide.ownership.shard_map_codec import decode_map, encode_map
 from damasktide.peering.client import PeerClient
 from damasktide.runtime.clock import Clock
 from damasktide.runtime.published import Published
--- a/packages/damasktide/src/damasktide/ownership/shard_map.py
+++ b/packages/damasktide/src/damasktide/ownership/shard_map.py
@@ -1,14 +1,10 @@
 """The shard map of a service: owners, pending moves and confirmers under one version."""
 
-import base64
-import json
-from array import array
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from enum import Enum
 from functools import cached_property
 from types import MappingProxyType
-from typing import Any
 
 NO_OWNER = -1
 
@@ -21,7 +17,6 @@
     DOMAIN_OUT = "domain_out"
     JOIN = "join"
     BALANCE = "balance"
-    HOT_KEY = "hot_key"
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,8 +123,6 @@
         Moves whose old owner may still hold a grant.
     confirmer_sets
         Sets that may be in use, oldest first; the last one is current.
-    hot_owner_by_key_hash
-        Id of the owner of each key that is placed apart from its shard.
     """
 
     service: str
@@ -138,7 +131,6 @@
     owners: tuple[int, ...]
     pending: tuple[PendingMove, ...] = ()
     confirmer_sets: tuple[ConfirmerSet, ...] = ()
-    hot_owner_by_key_hash: Mapping[int, str] = field(default_factory=dict)
 
     @property
     def confirmers(self) -> ConfirmerSet:
@@ -278,57 +270,3 @@
         for index in shard_map.owners
     )
     return replace(shard_map, servers=kept, owners=owners)
-
-
-def encode_map(shard_map: ShardMap) -> str:
-    """Return the map as the JSON text of its table row; 2 bytes a shard before base64."""
-    return json.dumps(
-        {
-            "service": shard_map.service,
-            "version": shard_map.version,
-            "servers": [
-                [s.server_id, s.domain, s.region, s.host, s.port] for s in shard_map.servers
-            ],
-            "owners": base64.b64encode(array("h", shard_map.owners).tobytes()).decode(),
-            "pending": [
-                [m.shard, m.old_owner, m.new_owner, m.cause.value, m.since_version]
-                for m in shard_map.pending
-            ],
-            "confirmer_sets": [
-                [s.since_version, dict(s.ids_by_domain), dict(s.region_by_domain)]
-                for s in shard_map.confirmer_sets
-            ],
-            "hot_keys": [
-                [key, server_id] for key, server_id in shard_map.hot_owner_by_key_hash.items()
-            ],
-        },
-        separators=(",", ":"),
-    )
-
-
-def decode_map(text: str) -> ShardMap:
-    """Return the map of a table row.
-
-    Raises
-    ------
-    ValueError, KeyError, TypeError
-        If the text is not a row written by :func:`encode_map`.
-    """
-    raw: dict[str, Any] = json.loads(text)
-    owners = array("h")
-    owners.frombytes(base64.b64decode(raw["owners"]))
-    return ShardMap(
-        service=raw["service"],
-        version=raw["version"],
-        servers=tuple(OwnerServer(*fields) for fields in raw["servers"]),
-        owners=tuple(owners),
-        pending=tuple(
-            PendingMove(shard, old, new, MoveCause(cause), since)
-            for shard, old, new, cause, since in raw["pending"]
-        ),
-        confirmer_sets=tuple(
-            ConfirmerSet(since, {name: tuple(ids) for name, ids in by_domain.items()}, regions)
-            for since, by_domain, regions in raw["confirmer_sets"]
-        ),
-        hot_owner_by_key_hash=dict(raw["hot_keys"]),
-    )
