--- a/packages/damasktide/src/damasktide/forwarding/destinations.py
+++ b/packages/damasktide/src/damasktide/forwarding/destinations.py
@@ -7,6 +7,7 @@
 from damasktide.admission.request import AdmittedRequest
 from damasktide.balancing.messages import NoPickReason, Pick, Picked
 from damasktide.balancing.task import BalancerTask
+from damasktide.forwarding.hedging import HedgePlan, HedgingTask
 from damasktide.forwarding.upstream import Destination
 from damasktide.ownership.messages import OwnerSnapshot
 from damasktide.ownership.shard_map import OwnerServer
@@ -23,18 +24,33 @@
     ----------
     service
         Name of the service.
+    domain
+        Failure domain of this instance.
     space
         How keys map to shards.
     owners
         Snapshot of the adopted map.
+    max_deadline_s
+        Longest deadline of a keyed request, or None.
+    grants_checked
+        Whether the backend servers check grants.
     balancer
         Task that chooses targets for unkeyed requests.
+    hedging
+        Task that learns after which delay to hedge.
+    hedge_plan
+        Its present plan.
     """
 
     service: str
+    domain: str
     space: ShardSpace
     owners: Published[OwnerSnapshot]
+    max_deadline_s: float | None
+    grants_checked: bool
     balancer: BalancerTask
+    hedging: HedgingTask
+    hedge_plan: Published[HedgePlan]
 
 
 Finder = Callable[[ServiceRoute, AdmittedRequest, tuple[str, ...]], Destination | Refusal]
@@ -86,7 +102,23 @@
     if isinstance(found, Refusal):
         return found
     owner = found.owner
-    return Destination(owner.server_id, owner.host, owner.port, found.shard, found.map_version)
+    if not route.grants_checked and owner.domain != route.domain:
+        detail = f"only instances of {owner.domain} may send to its servers"
+        return Refusal(RefusalCode.NO_OWNER, detail, 1)
+    return Destination(
+        owner.server_id,
+        owner.host,
+        owner.port,
+        found.shard,
+        found.map_version,
+        send_until=_send_until(route),
+        max_call_s=route.max_deadline_s,
+    )
+
+
+def _send_until(route: ServiceRoute) -> float | None:
+    """Return when a call to the owner has to end, or None if the owner itself checks grants."""
+    return None if route.grants_checked else route.owners.value.right_until
 
 
 @destination_finders.register(False)
--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -1,9 +1,11 @@
 """Calls a target once and says what is known about the outcome."""
 
+import contextlib
 import time
 from dataclasses import dataclass
 from urllib.parse import quote
 
+import gevent
 from urllib3 import HTTPConnectionPool, PoolManager, Retry, Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -20,6 +22,7 @@
 REQUEST_ID_HEADER = "Idempotency-Key"
 
 _CONNECT_TIMEOUT_S = 0.25
+_CANCEL_TIMEOUT_S = 0.5
 _NOT_OWNER_STATUS = 409
 
 
@@ -39,6 +42,11 @@
         Map version by which the server owns the shard, 0 for unkeyed requests.
     connections
         Connections that the server accepts from this instance.
+    send_until
+        Monotonic time in seconds at which the call has to end because the sender's right ends,
+        or None.
+    max_call_s
+        Longest time of a call in seconds, or None.
     """
 
     server_id: str
@@ -47,6 +55,17 @@
     shard: int | None = None
     map_version: int = 0
     connections: int = 110
+    send_until: float | None = None
+    max_call_s: float | None = None
+
+    def call_s(self, remaining_s: float, now: float) -> float:
+        """Return the seconds that a call may take from ``now`` on; 0 or less for none."""
+        bounds = [remaining_s]
+        if self.max_call_s is not None:
+            bounds.append(self.max_call_s)
+        if self.send_until is not None:
+            bounds.append(self.send_until - now)
+        return min(bounds)
 
 
 class Upstream:
@@ -82,6 +101,10 @@
         """
         pool = self._pools.connection_from_host(destination.host, destination.port, "http")
         started = time.monotonic()
+        # Tested immediately before the write; a right that has ended must not be used.
+        timeout_s = destination.call_s(timeout_s, started)
+        if timeout_s <= 0:
+            return UpstreamFailure(FailureKind.NO_RIGHT, destination.server_id)
         try:
             response = self._exchange(pool, request, destination, timeout_s)
         except (NewConnectionError, ConnectTimeoutError):
@@ -133,6 +156,21 @@
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return Answer(response.status, content_type, body, server_id, {})
 
+    def cancel(self, request_id: str, destination: Destination) -> None:
+        """Ask a target in the background to give up a request."""
+        gevent.spawn(self._send_cancel, request_id, destination)
+
+    def _send_cancel(self, request_id: str, destination: Destination) -> None:
+        pool = self._pools.connection_from_host(destination.host, destination.port, "http")
+        timeout = Timeout(connect=_CONNECT_TIMEOUT_S, read=_CANCEL_TIMEOUT_S)
+        with contextlib.suppress(HTTPError, OSError):
+            pool.urlopen(
+                "DELETE",
+                f"/damasktide/requests/{quote(request_id)}",
+                timeout=timeout,
+                retries=False,
+            )
+
     def close(self) -> None:
         """Close all connections."""
         self._pools.clear()
--- a/packages/damasktide/src/damasktide/limits/messages.py
+++ b/packages/damasktide/src/damasktide/limits/messages.py
@@ -6,6 +6,7 @@
 from gevent.event import AsyncResult
 
 from damasktide.admission.refusals import Refusal
+from damasktide.balancing.messages import BalancerStatus
 from damasktide.balancing.targets import Target
 from damasktide.limits.members import Member
 
@@ -24,6 +25,9 @@
         Monotonic time in seconds at which the caller stops waiting.
     owner
         Owner of the key, or None for unkeyed work.
+    counts_volume
+        Whether it counts against the customer's volume here; a request that another instance
+        forwards has been counted there.
     """
 
     ticket: int
@@ -31,6 +35,7 @@
     service: str
     deadline: float
     owner: str | None = None
+    counts_volume: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +56,20 @@
 Verdict = Admitted | Refused
 
 
+@dataclass(frozen=True, slots=True)
+class TakeVolume:
+    """Counts a request that is forwarded to a peer; the reply is a refusal or None."""
+
+    customer: str
+
+
+@dataclass(frozen=True, slots=True)
+class RefundVolume:
+    """Gives back the volume of a forwarded request that did not run."""
+
+    customer: str
+
+
 @dataclass(frozen=True, slots=True)
 class Enter:
     """Asks for entry; ``reply`` gets a :class:`Verdict`, at the deadline at the latest."""
@@ -92,6 +111,16 @@
     slots: int
     slots_by_server: Mapping[str, int]
 
+    @classmethod
+    def from_status(cls, service: str, status: BalancerStatus) -> "CapacityChanged":
+        """Return the slots that the balancer of ``service`` would give out."""
+        status_by_server = status.status_by_server
+        return cls(
+            service,
+            sum(target.limit for target in status_by_server.values()),
+            {server_id: target.keyed_limit for server_id, target in status_by_server.items()},
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class VolumesChanged:
--- a/packages/damasktide/src/damasktide/ownership/placement.py
+++ b/packages/damasktide/src/damasktide/ownership/placement.py
@@ -27,6 +27,8 @@
 # A confirmer must be missing or present this long before the set changes.
 CONFIRMER_CHANGE_AFTER_S = 2.0
 
+_DRAIN_CAUSES = frozenset({MoveCause.LEAVING, MoveCause.DOMAIN_OUT})
+
 
 class Placement:
     """Computes proposals for one service.
@@ -70,23 +72,10 @@
         confirmers = with_confirmers(placed, ids_by_domain, self._region_by_domain)
         return _at_version(confirmers, 1)
 
-    def lost_server_moves(
-        self,
-        shard_map: ShardMap,
-        controlled: Set[str],
-        contacts: Contacts,
-        surroundings: Surroundings,
-        now: float,
+    def returned_server_moves(
+        self, shard_map: ShardMap, controlled: Set[str], contacts: Contacts, now: float
     ) -> ShardMap | None:
-        """Return the map in which the shards of lost servers move, or None.
-
-        A server that answers again before its moves complete keeps its shards.
-        """
-        lost = {
-            server_id
-            for server_id in controlled
-            if (contact := contacts.get(server_id)) is not None and contact.is_suspect(now)
-        }
+        """Return the map in which servers that answer again keep their shards, or None."""
         returned = [
             (move.shard, move.old_owner, move.cause)
             for move in shard_map.pending
@@ -95,8 +84,17 @@
             and (contact := contacts.get(move.old_owner)) is not None
             and contact.is_reached(now)
         ]
-        if returned:
-            return with_moves(shard_map, returned, ())
+        return with_moves(shard_map, returned, ()) if returned else None
+
+    def lost_server_moves(
+        self,
+        shard_map: ShardMap,
+        lost: Set[str],
+        contacts: Contacts,
+        surroundings: Surroundings,
+        now: float,
+    ) -> ShardMap | None:
+        """Return the map in which the shards of lost servers move, or None."""
         if not lost:
             return None
         usable_by_id = self._safe_new_owners(shard_map, contacts, surroundings, lost, now)
@@ -108,8 +106,14 @@
     def planned_moves(
         self, shard_map: ShardMap, contacts: Contacts, surroundings: Surroundings, now: float
     ) -> ShardMap | None:
-        """Return the map with the next batch of planned moves, or None."""
-        if now - self._last_plan_at < PLAN_INTERVAL_S or shard_map.pending:
+        """Return the map with the next batch of planned moves, or None.
+
+        Moves from lost servers may stay pending for ``HOLD_LIMIT_S``. Meanwhile servers still
+        drain, but no shard moves for balance, as the lost servers may return.
+        """
+        pending_causes = {move.cause for move in shard_map.pending}
+        is_planned_pending = bool(pending_causes - {MoveCause.LOST})
+        if now - self._last_plan_at < PLAN_INTERVAL_S or is_planned_pending:
             return None
         cause_by_id = _unusable_causes(surroundings)
         usable_by_id = {
@@ -118,6 +122,8 @@
             if _owns_shards(shard_map, server_id) or _has_joined(contacts, server_id, now)
         }
         plan = plan_moves(shard_map, self._space, Candidates(usable_by_id, cause_by_id))
+        if pending_causes:
+            plan = tuple(move for move in plan if move.cause in _DRAIN_CAUSES)
         if not plan:
             return None
         self._last_plan_at = now
@@ -166,7 +172,7 @@
             and server_id not in moving_ids
             and server.domain in live_domains
             and (_owns_shards(shard_map, server_id) or _has_joined(contacts, server_id, now))
-            and not _is_suspect(contacts, server_id, now)
+            and not contacts.is_suspect(server_id, now)
         }
 
 
@@ -186,7 +192,7 @@
 
 
 def _owns_shards(shard_map: ShardMap, server_id: str) -> bool:
-    return any(server.server_id == server_id for server in shard_map.servers)
+    return server_id in shard_map.server_by_id()
 
 
 def _has_joined(contacts: Contacts, server_id: str, now: float) -> bool:
@@ -198,11 +204,6 @@
     )
 
 
-def _is_suspect(contacts: Contacts, server_id: str, now: float) -> bool:
-    contact = contacts.get(server_id)
-    return contact is not None and contact.is_suspect(now)
-
-
 def _owner_server(target: Target) -> OwnerServer:
     return OwnerServer(target.server_id, target.domain, target.region, target.host, target.port)
 
--- a/packages/damasktide/src/damasktide/ownership/proposals.py
+++ b/packages/damasktide/src/damasktide/ownership/proposals.py
@@ -1,39 +1,12 @@
 """Chooses the one change of the map that an instance proposes next."""
 
-from collections.abc import Iterator, Set
-from dataclasses import dataclass
+from collections.abc import Iterator
 
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.moves import MoveProgress
 from damasktide.ownership.placement import Placement
-from damasktide.ownership.roles import Roles
 from damasktide.ownership.shard_map import ShardMap
-from damasktide.ownership.surroundings import Surroundings
-
-
-@dataclass(frozen=True, slots=True)
-class View:
-    """What a proposal is based on.
-
-    Attributes
-    ----------
-    shard_map
-        The adopted map.
-    roles
-        Duties of the instances.
-    controlled
-        Ids of the servers whose moves this instance controls.
-    surroundings
-        What other tasks have published.
-    now
-        Monotonic time.
-    """
-
-    shard_map: ShardMap
-    roles: Roles
-    controlled: Set[str]
-    surroundings: Surroundings
-    now: float
+from damasktide.ownership.views import View
 
 
 class Proposals:
@@ -54,11 +27,35 @@
         """Return the next version that this instance wants, or None."""
         return next((proposed for proposed in self._by_urgency(view) if proposed), None)
 
+    def _lost_ids(self, view: View) -> frozenset[str]:
+        """Return the controlled servers that are taken for lost.
+
+        The servers of a lost failure domain were last reached at slightly different times; they
+        are moved in one batch as soon as the first one is suspect, so that their waits coincide.
+        """
+        suspect = {one for one in view.controlled if self._contacts.is_suspect(one, view.now)}
+        domain_by_id = {server.server_id: server.domain for server in view.shard_map.servers}
+        if not view.is_quiet_domain_lost or view.quiet_domain not in map(
+            domain_by_id.get, suspect
+        ):
+            return frozenset(suspect)
+        unseen = {
+            one
+            for one in view.controlled
+            if domain_by_id[one] == view.quiet_domain and self._contacts.is_unseen(one, view.now)
+        }
+        return frozenset(suspect | unseen)
+
     def _by_urgency(self, view: View) -> Iterator[ShardMap | None]:
         shard_map, now = view.shard_map, view.now
+        # Before completion: a server that returns accepts its fence at once, and its shards
+        # would move although it is there again.
+        yield self._placement.returned_server_moves(
+            shard_map, view.controlled, self._contacts, now
+        )
         yield self._moves.completed(shard_map, view.controlled, self._contacts, now)
         yield self._placement.lost_server_moves(
-            shard_map, view.controlled, self._contacts, view.surroundings, now
+            shard_map, self._lost_ids(view), self._contacts, view.surroundings, now
         )
         if view.roles.is_confirmer_manager():
             yield self._placement.changed_confirmers(shard_map, view.surroundings, now)
