--- a/packages/damasktide/src/damasktide/ownership/constants.py
+++ b/packages/damasktide/src/damasktide/ownership/constants.py
@@ -30,3 +30,7 @@
 UNCHECKED_MARGIN_S = 0.1
 
 MAX_CONFIRMERS_PER_DOMAIN = 5
+
+# Each change of the confirmers leaves a set in the row until it is settled. Instances that
+# come and go must not make the row grow without bound.
+MAX_CONFIRMER_SETS = 4
--- a/packages/damasktide/src/damasktide/ownership/placement.py
+++ b/packages/damasktide/src/damasktide/ownership/placement.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from damasktide.balancing.targets import Target
-from damasktide.ownership.constants import MAX_CONFIRMERS_PER_DOMAIN
+from damasktide.ownership.constants import MAX_CONFIRMER_SETS, MAX_CONFIRMERS_PER_DOMAIN
 from damasktide.ownership.contacts import Contacts
 from damasktide.ownership.planner import Candidates, plan_moves
 from damasktide.ownership.shard_map import (
@@ -139,7 +139,8 @@
         current = shard_map.confirmers
         wanted = _confirmer_ids(surroundings, self._region_by_domain, current.ids_by_domain)
         own = wanted.get(self._domain, ())
-        if frozenset(own) == current.own_ids(self._domain):
+        is_full = len(shard_map.confirmer_sets) >= MAX_CONFIRMER_SETS
+        if is_full or frozenset(own) == current.own_ids(self._domain):
             self._confirmers_differ_since = None
             return None
         if self._confirmers_differ_since is None:
