--- /dev/null
+++ b/packages/damasktide/src/damasktide/ownership/tests/test_placement.py
@@ -0,0 +1,27 @@
+import unittest
+
+from damasktide.ownership.constants import MAX_CONFIRMER_SETS
+from damasktide.ownership.placement import CONFIRMER_CHANGE_AFTER_S, Placement
+from damasktide.ownership.shard_map import ShardMap
+from damasktide.ownership.shards import ShardSpace
+from damasktide.ownership.surroundings import Surroundings
+from damasktide.ownership.tests.fixtures import REGION_BY_DOMAIN, first_map, instance
+
+
+class ChangedConfirmersTest(unittest.TestCase):
+    def test_instances_that_come_and_go_do_not_fill_the_row(self) -> None:
+        """Guards against a row that grows with each replacement while nothing can be settled."""
+        placement = Placement(ShardSpace(2, ("north",)), "a", REGION_BY_DOMAIN)
+        shard_map: ShardMap = first_map()
+        now = 0.0
+        for number in range(20):
+            surroundings = Surroundings((instance(f"a{number + 10}"),))
+            placement.changed_confirmers(shard_map, surroundings, now)
+            now += CONFIRMER_CHANGE_AFTER_S
+            changed = placement.changed_confirmers(shard_map, surroundings, now)
+            shard_map = changed or shard_map
+        self.assertEqual(len(shard_map.confirmer_sets), MAX_CONFIRMER_SETS)
+
+
+if __name__ == "__main__":
+    unittest.main()
