--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/losses.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/losses.py
@@ -25,6 +25,7 @@
 
 # An instance or a server that is frozen this long has lost its rights and grants.
 FREEZE_S = 2.5
+SLOW_FACTOR = 20.0
 
 
 @scenario("owner killed", 1, 2, 7, 8)
@@ -45,6 +46,9 @@
     """Freeze the owner of a key until its shards have moved, then let it return."""
     key = callers.keys[1]
     owner = owner_of(cluster, key)
+    # Only runs that last show that two servers run a key at the same time.
+    for server_id in cluster.server_by_id:
+        set_server_fault(cluster, server_id, "slow", factor=SLOW_FACTOR)
     with probing(callers, key):
         cluster.process_by_name[owner].send(signal.SIGSTOP)
         started = time.time()
@@ -52,6 +56,8 @@
         gevent.sleep(max(0.0, FREEZE_S - (time.time() - started)))
         cluster.process_by_name[owner].send(signal.SIGCONT)
         gevent.sleep(1.5)
+    for server_id in cluster.server_by_id:
+        set_server_fault(cluster, server_id, "clear")
     return findings
 
 
--- a/packages/damasktide-standins/src/damasktide_standins/process_faults/replacement.py
+++ b/packages/damasktide-standins/src/damasktide_standins/process_faults/replacement.py
@@ -8,7 +8,7 @@
 from gevent.pool import Pool
 
 from damasktide_standins.balancer.proxy import Balancer, Endpoint
-from damasktide_standins.cluster.client import NO_ANSWER, CallerAnswer, Client
+from damasktide_standins.cluster.client import NO_ANSWER, NOT_CONNECTED, CallerAnswer, Client
 from damasktide_standins.cluster.layout import TOKEN
 from damasktide_standins.cluster.local_cluster import LocalCluster
 from damasktide_standins.process_faults.controls import NEVER_S, set_server_fault
@@ -32,15 +32,19 @@
         # Connections that go past the balancer would be cut by no fault of the instance.
         gevent.sleep(1.0)
         before = callers.record.no_answers
+        refused_before = callers.record.refusals["draining"]
         codes = [_replace(cluster, name) for name in cluster.instance_by_name]
         cut = callers.record.no_answers - before
+        refused = callers.record.refusals["draining"] - refused_before
     finally:
         callers.urls = direct
         gevent.sleep(1.0)
         balancer.stop()
     problems = [f"exit codes {codes}"] if any(codes) else []
     problems += [f"{cut} requests got no answer"] if cut else []
-    return Findings(tuple(problems), {"cut": cut})
+    # The balancer has 2 s to learn of a drain, so a refusal depends on its speed.
+    late = (f"{refused} requests were refused as draining",) if refused else ()
+    return Findings(tuple(problems), {"cut": cut, "refused": refused}, late)
 
 
 def _replace(cluster: LocalCluster, name: str) -> int:
@@ -91,7 +95,8 @@
 
 
 def _is_not_run(answer: CallerAnswer) -> bool:
-    return answer.status == NO_ANSWER or bool(answer.json().get("not_run"))
+    is_sent = answer.status not in (NO_ANSWER, NOT_CONNECTED)
+    return not is_sent or bool(answer.json().get("not_run"))
 
 
 def _book(
