Give no unkeyed work to targets that accept no connection

Cause: when all near servers were lost, ejection could take out a quarter of the targets only, and the retry budget was spent on dead ones; unkeyed reads were refused as no_target although the other region could serve them. Ruled out: a larger fraction for ejection, which must not remove targets that are only slow. Change: after two connections in a row that were not accepted, a target gets no unkeyed work for 0.5 s, then one call tries it.

--- a/packages/damasktide/src/damasktide/balancing/balancer.py
+++ b/packages/damasktide/src/damasktide/balancing/balancer.py
@@ -213,8 +213,10 @@
         outcome = done.outcome
         if outcome.is_failure:
             state.consecutive_failures += 1
-            if outcome is CallOutcome.RESET:
+            if outcome in (CallOutcome.RESET, CallOutcome.NOT_CONNECTED):
                 state.ramp.on_reset(now)
+            if outcome is CallOutcome.NOT_CONNECTED:
+                state.add_refused_connection(now)
         elif outcome is CallOutcome.SHED:
             self._learn_shed(now, state)
         if outcome in (CallOutcome.OK, CallOutcome.TIMED_OUT, CallOutcome.CANCELLED):
@@ -239,6 +241,7 @@
             state.consecutive_slow = 0
         if done.outcome is CallOutcome.OK:
             state.consecutive_failures = 0
+            state.refused_connections = 0
         if state.ramp.on_latency(now, latency_s, median_s):
             state.refresh_limit(now)
 
--- a/packages/damasktide/src/damasktide/balancing/messages.py
+++ b/packages/damasktide/src/damasktide/balancing/messages.py
@@ -15,6 +15,7 @@
     FAILED = "failed"
     TIMED_OUT = "timed_out"
     RESET = "reset"
+    NOT_CONNECTED = "not_connected"
     SHED = "shed"
     CANCELLED = "cancelled"
 
@@ -24,7 +25,14 @@
         return self in _FAILURES
 
 
-_FAILURES = frozenset({CallOutcome.FAILED, CallOutcome.TIMED_OUT, CallOutcome.RESET})
+_FAILURES = frozenset(
+    {
+        CallOutcome.FAILED,
+        CallOutcome.TIMED_OUT,
+        CallOutcome.RESET,
+        CallOutcome.NOT_CONNECTED,
+    }
+)
 
 
 class NoPickReason(Enum):
--- a/packages/damasktide/src/damasktide/balancing/state.py
+++ b/packages/damasktide/src/damasktide/balancing/state.py
@@ -11,6 +11,8 @@
 REPORT_TAU_S = 1.0
 # A late report must not outweigh what this instance sees itself, so it counts as one call.
 FULL_REPORT_CALLS = 1.0
+UNREACHABLE_AFTER = 2
+UNREACHABLE_S = 0.5
 
 
 class TargetState:
@@ -35,6 +37,8 @@
         The same for keyed work, which ignores ejection.
     consecutive_failures, consecutive_slow
         Failures, and responses far above the median, since the last good response.
+    refused_connections
+        Connections in a row that the target did not accept.
     ejected_until
         End of the ejection in monotonic seconds, or None.
     ejections
@@ -58,8 +62,10 @@
         "limit",
         "ramp",
         "readmitted_at",
+        "refused_connections",
         "share",
         "target",
+        "unreachable_until",
     )
 
     def __init__(self, target: Target, level: int) -> None:
@@ -72,6 +78,8 @@
         self.keyed_limit = target.slots
         self.consecutive_failures = 0
         self.consecutive_slow = 0
+        self.refused_connections = 0
+        self.unreachable_until = float("-inf")
         self.ejected_until: float | None = None
         self.ejections = 0
         self.readmitted_at = 0.0
@@ -92,9 +100,21 @@
             self.keyed_limit = 0
         else:
             self.keyed_limit = self.share.of(self.ramp.limit(now, self.target.slots))
-        self.limit = 0 if self.ejected_until is not None else self.keyed_limit
+        is_usable = self.ejected_until is None and now >= self.unreachable_until
+        self.limit = self.keyed_limit if is_usable else 0
         return before != (self.limit, self.keyed_limit)
 
+    def add_refused_connection(self, now: float) -> None:
+        """Take in a connection that was not accepted.
+
+        Unlike a slow or failing target, one that accepts no connection carries no load at all,
+        so the bound on ejections does not apply. One call per period tries it again.
+        """
+        self.refused_connections += 1
+        if self.refused_connections >= UNREACHABLE_AFTER:
+            self.unreachable_until = now + UNREACHABLE_S
+            self.refresh_limit(now)
+
     def add_latency(self, now: float, latency_s: float) -> None:
         """Take in a measured latency, weighted by the time since the one before."""
         if self._latency_at is None:
--- a/packages/damasktide/src/damasktide/balancing/tests/test_protection.py
+++ b/packages/damasktide/src/damasktide/balancing/tests/test_protection.py
@@ -62,6 +62,18 @@
         self.assertEqual(self.peak_use([(0.0, fast), (0.0, slow)])[0], 6)
         self.assertEqual(self.peak_use([(0.0, fast), (0.0, reset)])[0], 6)
 
+    def test_targets_that_accept_no_connection_get_no_work(self) -> None:
+        """Guards against the loss of all near servers, which ejection alone does not cover."""
+        subject = balancer(near_targets(4))
+        lost = ("s0", "s1", "s2")
+        for server_id in lost * 2:
+            subject.finish(0.0, Done(server_id, 0.001, CallOutcome.NOT_CONNECTED))
+        subject.refresh(0.1)
+        self.assertEqual(set(take_all(subject, 0.1)), {"s3"})
+        subject.refresh(1.0)
+        status = subject.status(1.0).status_by_server
+        self.assertTrue(any(status[server_id].limit for server_id in lost))
+
     def test_shed_requests_shrink_the_limit(self) -> None:
         """Guards against a cold target that sheds, but whose new boot id nobody has seen."""
         limits = []
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -27,7 +27,7 @@
 _DEADLINE_PASSED = Refusal(RefusalCode.DEADLINE_TOO_SHORT, "the deadline has passed")
 
 _OUTCOME_BY_KIND = {
-    FailureKind.NOT_CONNECTED: CallOutcome.RESET,
+    FailureKind.NOT_CONNECTED: CallOutcome.NOT_CONNECTED,
     FailureKind.NOT_OWNER: CallOutcome.CANCELLED,
     FailureKind.NO_RIGHT: CallOutcome.CANCELLED,
     FailureKind.SHED: CallOutcome.SHED,
