Give the slot back while a request waits for an owner

Cause: a keyed request held its slot at the limiter for up to 2 s while its owner was lost, so others for the same server were refused as overloaded instead of no_owner. Ruled out: more slots for keyed work, which a backend server may not bear. Change: SlotLease takes the slot before each call and gives it back before each wait; volume is counted once; a request that waited for an owner is refused with that reason.

--- a/packages/damasktide/src/damasktide/assembly/instance.py
+++ b/packages/damasktide/src/damasktide/assembly/instance.py
@@ -201,7 +201,6 @@
             route_by_service,
             Upstream(),
             self._budget,
-            self._limiter,
             lambda reason: self._record(Count(retry_metric(reason))),
         )
         return ServiceParts(
--- a/packages/damasktide/src/damasktide/forwarding/request_service.py
+++ b/packages/damasktide/src/damasktide/forwarding/request_service.py
@@ -18,11 +18,12 @@
     executor_of_unkeyed,
 )
 from damasktide.forwarding.router import OWNER_POLL_S, OWNER_WAIT_S, Router
+from damasktide.forwarding.slot_lease import SlotLease
 from damasktide.idempotency.gatekeeper import Begin, Finish, GatekeeperTask
 from damasktide.idempotency.memory import Proceed, Replay
 from damasktide.idempotency.placement import identity_of
 from damasktide.idempotency.records import Completed, NotRun, RequestOutcome, Unknown
-from damasktide.limits.messages import Leave, RefundVolume, Refused, TakeVolume
+from damasktide.limits.messages import RefundVolume, TakeVolume
 from damasktide.limits.slot_share import NOTHING, SlotShare
 from damasktide.limits.task import LimiterTask
 from damasktide.membership.instances import Instance
@@ -191,23 +192,11 @@
             self._parts.gatekeeper.tell(Finish(identity, decision.run, outcome))
 
     def _run_limited(self, admitted: AdmittedRequest, counts_volume: bool) -> Answer | Refusal:
-        request = admitted.request
-        owner_id = None
-        if admitted.is_keyed:
-            route = self._parts.route_by_service[request.service]
-            found = owner_of_request(route, admitted)
-            if not isinstance(found, Refusal):
-                owner_id = found.owner.server_id
-        limiter = self._parts.limiter
-        verdict = limiter.enter(
-            admitted.customer, request.service, request.deadline, owner_id, counts_volume
-        )
-        if isinstance(verdict, Refused):
-            return verdict.refusal
+        lease = SlotLease(self._parts.limiter, admitted, counts_volume)
         try:
-            return self._parts.router.route(admitted, verdict.ticket)
+            return self._parts.router.route(admitted, lease)
         finally:
-            limiter.tell(Leave(verdict.ticket))
+            lease.release()
 
 
 def _with_time_to_reply(admitted: AdmittedRequest, remaining_s: float) -> AdmittedRequest:
--- a/packages/damasktide/src/damasktide/forwarding/router.py
+++ b/packages/damasktide/src/damasktide/forwarding/router.py
@@ -10,14 +10,13 @@
 from damasktide.admission.request import AdmittedRequest, Answer
 from damasktide.balancing.messages import CallOutcome, Done
 from damasktide.forwarding.backoff import Backoff, FailedCall, Retry
-from damasktide.forwarding.destinations import ServiceRoute, destination_finders
+from damasktide.forwarding.destinations import ServiceRoute, destination_finders, owner_of_request
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
 from damasktide.forwarding.hedged_call import HedgedCall
 from damasktide.forwarding.hedging import CallObserved
 from damasktide.forwarding.retry_budget import CountRequest, RetryBudgetTask, SpendRetry
+from damasktide.forwarding.slot_lease import SlotLease
 from damasktide.forwarding.upstream import Destination, Upstream
-from damasktide.limits.messages import Placed
-from damasktide.limits.task import LimiterTask
 from damasktide.telemetry.metrics import HEDGE_REASON
 
 # An owner that was lost is replaced within 2 s, so a keyed request waits at most that long.
@@ -49,8 +48,6 @@
         Connections to the targets.
     budget
         Task that owns the retry budget.
-    limiter
-        Task that is told which slot a request takes.
     count
         Counts a retry reason.
     """
@@ -60,61 +57,73 @@
         route_by_service: Mapping[str, ServiceRoute],
         upstream: Upstream,
         budget: RetryBudgetTask,
-        limiter: LimiterTask,
         count: Callable[[str], None],
     ) -> None:
         self._route_by_service = route_by_service
         self._upstream = upstream
         self._budget = budget
-        self._limiter = limiter
         self._count = count
         self._random = Random()
         self._backoff = Backoff(self._random)
 
-    def route(self, admitted: AdmittedRequest, ticket: int) -> Answer | Refusal:
+    def route(self, admitted: AdmittedRequest, lease: SlotLease) -> Answer | Refusal:
         """Return the whole response to the request, or a refusal.
 
         Parameters
         ----------
         admitted
             The request.
-        ticket
-            Its ticket at the limiter.
+        lease
+            Its slot at the limiter, taken here and given back by the caller.
         """
         self._budget.tell(CountRequest())
         tries = _Tries(min(admitted.request.deadline, time.monotonic() + OWNER_WAIT_S))
-        result = self._run(admitted, ticket, tries)
+        result = self._run(admitted, lease, tries)
         if isinstance(result, Refusal) and tries.may_have_run:
             return _without_not_run(result)
         return result
 
-    def _run(self, admitted: AdmittedRequest, ticket: int, tries: "_Tries") -> Answer | Refusal:
+    def _run(
+        self, admitted: AdmittedRequest, lease: SlotLease, tries: "_Tries"
+    ) -> Answer | Refusal:
         route = self._route_by_service[admitted.request.service]
         find = destination_finders.get(admitted.is_keyed)
         while True:
             remaining_s = admitted.request.deadline - time.monotonic()
             if remaining_s <= 0:
                 return tries.refusal or _DEADLINE_PASSED
-            destination = find(route, admitted, tries.server_ids)
+            destination = self._enter(admitted, lease) or find(route, admitted, tries.server_ids)
             if isinstance(destination, Refusal):
                 if destination.code is not RefusalCode.NO_OWNER or tries.is_owner_overdue():
-                    return destination
+                    return tries.reason_for(destination)
                 tries.refusal = destination
-                self._wait_for_owner()
+                self._wait_for_owner(lease)
                 continue
             if not admitted.is_keyed:
-                self._limiter.tell(Placed(ticket, destination.server_id))
-            result = self._call_hedged(route, admitted, destination, remaining_s, ticket)
+                lease.place(destination.server_id)
+            result = self._call_hedged(route, admitted, destination, remaining_s)
             if isinstance(result, Answer):
                 return result
             tries.record(result)
-            refusal = self._refusal_or_wait(admitted, result, tries)
+            refusal = self._refusal_or_wait(admitted, result, tries, lease)
             if refusal is not None:
                 return refusal
             self._count(result.kind.value)
 
+    def _enter(self, admitted: AdmittedRequest, lease: SlotLease) -> Refusal | None:
+        """Take a slot if the request holds none, or return why there is none."""
+        if not admitted.is_keyed:
+            return lease.acquire(None)
+        route = self._route_by_service[admitted.request.service]
+        found = owner_of_request(route, admitted)
+        return found if isinstance(found, Refusal) else lease.acquire(found.owner.server_id)
+
     def _refusal_or_wait(
-        self, admitted: AdmittedRequest, failure: UpstreamFailure, tries: "_Tries"
+        self,
+        admitted: AdmittedRequest,
+        failure: UpstreamFailure,
+        tries: "_Tries",
+        lease: SlotLease,
     ) -> Refusal | None:
         """Return the refusal that ends the request, or None after waiting for another try."""
         refusal = refusal_for(failure.kind, admitted.is_keyed)
@@ -123,7 +132,7 @@
             if tries.is_owner_overdue():
                 return refusal
             tries.refusal = refusal
-            self._wait_for_owner()
+            self._wait_for_owner(lease)
             return None
         call = FailedCall(admitted.is_idempotent, failure.kind.is_not_run, tries.count - 1)
         remaining_s = admitted.request.deadline - time.monotonic()
@@ -139,7 +148,6 @@
         admitted: AdmittedRequest,
         destination: Destination,
         remaining_s: float,
-        ticket: int,
     ) -> Answer | UpstreamFailure:
         """Call a target; an unkeyed idempotent call that takes long gets a second one."""
         may_hedge = admitted.is_idempotent and not admitted.is_keyed
@@ -186,7 +194,8 @@
             route.balancer.tell(Done(destination.server_id, latency_s, outcome))
         return result
 
-    def _wait_for_owner(self) -> None:
+    def _wait_for_owner(self, lease: SlotLease) -> None:
+        lease.release()
         gevent.sleep(OWNER_POLL_S * self._random.uniform(0.5, 1.5))
 
 
@@ -210,6 +219,11 @@
         self.server_ids = (*self.server_ids, failure.server_id)
         self.may_have_run = self.may_have_run or not failure.kind.is_not_run
 
+    def reason_for(self, refusal: Refusal) -> Refusal:
+        """Return the refusal, or why the request waited before it if that says more."""
+        is_crowded = refusal.code is RefusalCode.OVERLOADED
+        return self.refusal if self.refusal is not None and is_crowded else refusal
+
     def is_owner_overdue(self) -> bool:
         """Return whether the time to wait for an owner is over."""
         return time.monotonic() >= self._wait_until
--- /dev/null
+++ b/packages/damasktide/src/damasktide/forwarding/slot_lease.py
@@ -0,0 +1,66 @@
+"""The slot that one request holds at the limiter."""
+
+from damasktide.admission.refusals import Refusal
+from damasktide.admission.request import AdmittedRequest
+from damasktide.limits.messages import Leave, Placed, Refused
+from damasktide.limits.task import LimiterTask
+
+
+class SlotLease:
+    """Enters and leaves the limiter for one request.
+
+    A request that waits for an owner gives its slot back meanwhile, because requests for
+    other keys of the same backend server could use it.
+
+    Parameters
+    ----------
+    limiter
+        Task that owns the slots.
+    admitted
+        The request.
+    counts_volume
+        Whether the first entry counts against the customer's volume.
+    """
+
+    def __init__(
+        self, limiter: LimiterTask, admitted: AdmittedRequest, counts_volume: bool
+    ) -> None:
+        self._limiter = limiter
+        self._admitted = admitted
+        self._counts_volume = counts_volume
+        self._ticket: int | None = None
+
+    def acquire(self, owner_id: str | None) -> Refusal | None:
+        """Wait for a slot; return None once it is held, or why it is refused.
+
+        Parameters
+        ----------
+        owner_id
+            Owner of the key, or None for unkeyed work.
+        """
+        if self._ticket is not None:
+            return None
+        request = self._admitted.request
+        verdict = self._limiter.enter(
+            self._admitted.customer,
+            request.service,
+            request.deadline,
+            owner_id,
+            self._counts_volume,
+        )
+        if isinstance(verdict, Refused):
+            return verdict.refusal
+        self._counts_volume = False
+        self._ticket = verdict.ticket
+        return None
+
+    def place(self, server_id: str) -> None:
+        """Tell the limiter which target the request uses."""
+        if self._ticket is not None:
+            self._limiter.tell(Placed(self._ticket, server_id))
+
+    def release(self) -> None:
+        """Give the slot back, if it is held."""
+        if self._ticket is not None:
+            self._limiter.tell(Leave(self._ticket))
+            self._ticket = None
--- a/packages/damasktide/src/damasktide/forwarding/tests/test_peer_requests.py
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_peer_requests.py
@@ -2,6 +2,7 @@
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest import mock
 
 from returns.result import Failure
 
@@ -11,6 +12,8 @@
 from damasktide.forwarding.destinations import destination_finders
 from damasktide.forwarding.request_service import RequestService, ServiceParts
 from damasktide.forwarding.router import Router
+from damasktide.forwarding.slot_lease import SlotLease
+from damasktide.limits.messages import Admitted, Leave
 from damasktide.peering.calls import PeerError
 
 PEER = "oyo-a-1#1"
@@ -69,18 +72,36 @@
         router = Router(
             {"batch-desk": cast(Any, None)},
             cast(Any, None),
-            *(cast(Any, tell),) * 2,
+            cast(Any, tell),
             lambda _reason: None,
         )
+        lease = mock.Mock(**{"acquire.return_value": None})
+        owner = mock.patch("damasktide.forwarding.router.owner_of_request")
+        owner.start()
+        self.addCleanup(owner.stop)
         finder = destination_finders._item_by_key[True]
         self.addCleanup(destination_finders._item_by_key.__setitem__, True, finder)
         no_owner = Refusal(RefusalCode.NO_OWNER, "none")
         destination_finders._item_by_key[True] = lambda _route, _admitted, _tried: no_owner
-        self.assertEqual(router.route(booking(0.2), 1), no_owner)
-        passed = router.route(booking(-0.1), 1)
+        self.assertEqual(router.route(booking(0.2), lease), no_owner)
+        passed = router.route(booking(-0.1), lease)
         assert isinstance(passed, Refusal)
         self.assertIs(passed.code, RefusalCode.DEADLINE_TOO_SHORT)
 
+    def test_slot_is_given_back_while_a_request_waits(self) -> None:
+        """Guards against requests for a lost owner that keep its slots from all others."""
+        limiter = mock.Mock()
+        limiter.enter.side_effect = [Admitted(1), Admitted(2)]
+        lease = SlotLease(limiter, booking(1.0), counts_volume=True)
+        self.assertIsNone(lease.acquire("s1"))
+        self.assertIsNone(lease.acquire("s1"))
+        lease.release()
+        lease.release()
+        self.assertIsNone(lease.acquire("s2"))
+        volumes = [call.args[4] for call in limiter.enter.call_args_list]
+        self.assertEqual(volumes, [True, False])
+        limiter.tell.assert_called_once_with(Leave(1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/damasktide/src/damasktide/forwarding/tests/test_router.py
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_router.py
@@ -43,12 +43,15 @@
         budget_task = mock.Mock()
         budget_task.ask.return_value = budget
         service = mock.Mock(hedge_plan=Published(HedgePlan()))
-        router = Router(
-            {"batch-desk": service}, upstream, budget_task, mock.Mock(), lambda _reason: None
-        )
+        router = Router({"batch-desk": service}, upstream, budget_task, lambda _reason: None)
+        lease = mock.Mock(**{"acquire.return_value": None})
         finders = mock.Mock(get=lambda _keyed: lambda *_: TARGET)
-        with mock.patch("damasktide.forwarding.router.destination_finders", finders):
-            result = router.route(request, ticket=1)
+        router_module = "damasktide.forwarding.router"
+        with (
+            mock.patch(f"{router_module}.destination_finders", finders),
+            mock.patch(f"{router_module}.owner_of_request"),
+        ):
+            result = router.route(request, lease)
         return result, upstream.send.call_count
 
     def failure(self, kind: FailureKind) -> UpstreamFailure:
