--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 READY := $(VENV)/.ready
-PACKAGES := packages/damasktide packages/damasktidectl packages/damasktide-standins
-SOURCES := packages tooling
+PACKAGES := packages/damasktide packages/damasktidectl packages/damasktide-standins platform
+SOURCES := packages platform tooling
 
 .PHONY: demo test lint format types setup clean fault-matrix measure
 
--- /dev/null
+++ b/packages/damasktide/src/damasktide/http1/messages.py
@@ -0,0 +1,152 @@
+"""Heads of HTTP/1.1 messages, kept as the bytes that were received."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+HeaderFields = tuple[tuple[bytes, bytes], ...]
+
+# Fields that concern one connection (RFC 9110, section 7.6.1) and the framing of one message.
+_CONNECTION_FIELDS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+_STATUS_WITHOUT_BODY = frozenset({204, 304})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of a request.
+
+    Attributes
+    ----------
+    method
+        Method, such as ``b"GET"``.
+    target
+        Request target as received: path and query, not decoded.
+    headers
+        Header fields in their order, names as received.
+    keeps_alive
+        Whether the sender lets the connection be used again.
+    has_body
+        Whether a body follows.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderFields
+    keeps_alive: bool = True
+    has_body: bool = False
+
+    def field(self, name: bytes) -> bytes | None:
+        """Return the first value of the field with the lower-case ``name``."""
+        return first_field(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Head of a response.
+
+    Attributes
+    ----------
+    status
+        Status code.
+    reason
+        Reason phrase.
+    headers
+        Header fields in their order, names as received.
+    keeps_alive
+        Whether the sender lets the connection be used again.
+    content_length
+        Length of the body in bytes, or None if the framing gives none.
+    ends_with_connection
+        Whether the body ends where the connection ends.
+    """
+
+    status: int
+    reason: bytes
+    headers: HeaderFields
+    keeps_alive: bool = True
+    content_length: int | None = None
+    ends_with_connection: bool = False
+
+    def field(self, name: bytes) -> bytes | None:
+        """Return the first value of the field with the lower-case ``name``."""
+        return first_field(self.headers, name)
+
+
+def first_field(headers: HeaderFields, name: bytes) -> bytes | None:
+    """Return the first value of the field with the lower-case ``name``, or None."""
+    return next((value for key, value in headers if key.lower() == name), None)
+
+
+def end_to_end_fields(headers: HeaderFields) -> Iterator[tuple[bytes, bytes]]:
+    """Yield the fields that a gateway passes on."""
+    named = first_field(headers, b"connection") or b""
+    listed = {item.strip().lower() for item in named.split(b",")}
+    for key, value in headers:
+        lowered = key.lower()
+        if lowered not in _CONNECTION_FIELDS and lowered not in listed:
+            yield key, value
+
+
+def response_head(
+    status: int, reason: bytes, headers: HeaderFields, keeps_alive: bool, method: bytes
+) -> ResponseHead:
+    """Return the head of a response to ``method`` with its framing worked out.
+
+    See RFC 9112, section 6.3.
+    """
+    length = first_field(headers, b"content-length")
+    is_chunked = first_field(headers, b"transfer-encoding") is not None
+    has_no_body = method == b"HEAD" or status < 200 or status in _STATUS_WITHOUT_BODY
+    if has_no_body:
+        return ResponseHead(status, reason, headers, keeps_alive, 0)
+    if is_chunked:
+        return ResponseHead(status, reason, headers, keeps_alive)
+    if length is not None:
+        return ResponseHead(status, reason, headers, keeps_alive, int(length))
+    return ResponseHead(status, reason, headers, False, None, ends_with_connection=True)
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | None
+) -> bytes:
+    """Return the bytes of a request whose body, if any, is given in full."""
+    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
+    for key, value in headers:
+        parts += (key, b": ", value, b"\r\n")
+    if body is not None:
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts.append(b"\r\n")
+    if body:
+        parts.append(body)
+    return b"".join(parts)
+
+
+def encode_response(
+    status: int, reason: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | None
+) -> bytes:
+    """Return the bytes of a response head, with the body if it is given in full."""
+    parts = [b"HTTP/1.1 %d %s\r\n" % (status, reason)]
+    for key, value in headers:
+        parts += (key, b": ", value, b"\r\n")
+    if body is not None:
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts.append(b"\r\n")
+    if body:
+        parts.append(body)
+    return b"".join(parts)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return ``data`` as one chunk of a chunked body; no data ends the body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/http1/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP/1.1 slice."""
--- a/tooling/run_tests.py
+++ b/tooling/run_tests.py
@@ -31,7 +31,7 @@
 
 
 def _discover() -> Iterator[unittest.TestCase]:
-    for source in sorted(ROOT.glob("packages/*/src")):
+    for source in (*sorted(ROOT.glob("packages/*/src")), ROOT / "platform" / "src"):
         loader = unittest.TestLoader()
         yield from _flatten(loader.discover(str(source), top_level_dir=str(source)))
 
