Follow configuration and targets through the platform's store

Routing and targets are state machines of their own; a follower reads a table once and then its changes. Versions only rise, entries that lapse during an outage are kept for 2.2 s after its end.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which service and route a request belongs to."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/routing/route_table.py
@@ -0,0 +1,51 @@
+"""Looks up the route of a request."""
+
+from collections.abc import Iterable
+
+from damasktide.routing.configuration import Route
+
+
+class RouteTable:
+    """Routes by host, longest prefix first; immutable after construction.
+
+    Prefixes end with a slash, so a path is cut at its slashes and each piece looked up: the cost
+    does not depend on the number of routes.
+
+    Parameters
+    ----------
+    routes
+        All routes. Of two routes with the same host and prefix the first one holds.
+    """
+
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            route_by_prefix = self._route_by_prefix_by_host.setdefault(route.host, {})
+            route_by_prefix.setdefault(route.prefix, route)
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path, or None.
+
+        Parameters
+        ----------
+        host
+            Value of the Host field; a port and upper case are ignored.
+        target
+            Request target; its query is ignored.
+        """
+        route_by_prefix = self._route_by_prefix_by_host.get(_host_name(host))
+        if route_by_prefix is None:
+            return None
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = route_by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def _host_name(host: str) -> str:
+    name, separator, port = host.rpartition(":")
+    return (name if separator and port.isdigit() else host).lower()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/rows/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of the platform's store: reading, conditional writing and following changes."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -0,0 +1,172 @@
+"""Follows a table: one complete read, then its changes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+
+import gevent
+from loguru import logger
+
+from damasktide.rows.store import (
+    Changes,
+    HistoryLostError,
+    RowStore,
+    StoreUnavailableError,
+    TableState,
+)
+from damasktide.runtime.task import Task
+
+# First and longest pause after a failed call; each failure doubles it.
+RETRY_FIRST_S = 0.2
+RETRY_LONGEST_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class FollowPace:
+    """How often a table is asked for changes; each call to the store is paid for.
+
+    Attributes
+    ----------
+    gap_s
+        Shortest time between two calls, so the longest by which a change is seen late.
+    wait_s
+        Longest time for which one call waits for a change. A store that went silent is noticed
+        after it, so it is short for a table that changes all the time.
+    """
+
+    gap_s: float
+    wait_s: float
+
+
+# Check-ins of targets change their table many times a second.
+BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=1.0)
+# Changes of operators and of the key maps are rare, and are to be seen at once.
+QUIET_TABLE = FollowPace(gap_s=0.05, wait_s=10.0)
+
+
+@dataclass(frozen=True, slots=True)
+class TableRead:
+    """The complete table has been read, at the start or because changes were missed."""
+
+    table: str
+    state: TableState
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class TableChanged:
+    """Rows have changed."""
+
+    table: str
+    changes: Changes
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLost:
+    """The store does not answer."""
+
+    table: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRegained:
+    """The store answers again."""
+
+    table: str
+
+
+FollowerMessage = TableRead | TableChanged
+ContactMessage = StoreLost | StoreRegained
+
+
+class TableFollower(Task):
+    """Tells another task about a table; owns its connection to the store.
+
+    Parameters
+    ----------
+    store
+        Client that only this task uses.
+    table
+        Name of the table.
+    notify
+        Receives what was read.
+    pace
+        How often the table is asked for changes.
+    on_contact
+        Receives that the store was lost or regained.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        notify: Callable[[FollowerMessage], None],
+        pace: FollowPace = QUIET_TABLE,
+        on_contact: Callable[[ContactMessage], None] = lambda message: None,
+    ) -> None:
+        super().__init__(f"follow-{table}")
+        self._store = store
+        self._table = table
+        self._notify = notify
+        self._pace = pace
+        self._on_contact = on_contact
+        self._version: int | None = None
+        self._pause_s = RETRY_FIRST_S
+        self._is_lost = False
+        self._due_at = 0.0
+        self._random = Random()
+
+    def set_pace(self, pace: FollowPace) -> None:
+        """Ask more or less often from the next call on."""
+        self._pace = pace
+
+    def next_wake_at(self) -> float | None:
+        """Return when the next call is due."""
+        return self._due_at
+
+    def on_wake(self) -> None:
+        """Make the next call."""
+        self._follow()
+        self._due_at = monotonic() + self._pace.gap_s
+
+    def _follow(self) -> None:
+        asked_at = monotonic()
+        try:
+            message = self._call(asked_at)
+        except HistoryLostError:
+            logger.bind(table=self._table, version=self._version).info("history lost, read anew")
+            self._version = None
+            return
+        except StoreUnavailableError as error:
+            self._lose(str(error))
+            return
+        self._regain()
+        if message is not None:
+            self._notify(message)
+
+    def _call(self, asked_at: float) -> FollowerMessage | None:
+        if self._version is None:
+            state = self._store.read_table(self._table)
+            self._version = state.version
+            return TableRead(self._table, state, asked_at)
+        changes = self._store.wait_for_changes(self._table, self._version, self._pace.wait_s)
+        self._version = max(self._version, changes.version)
+        return TableChanged(self._table, changes, asked_at)
+
+    def _lose(self, detail: str) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            logger.bind(table=self._table, detail=detail).warning("lost the store")
+            self._on_contact(StoreLost(self._table, detail))
+        gevent.sleep(self._pause_s * self._random.uniform(0.5, 1.0))
+        self._pause_s = min(RETRY_LONGEST_S, 2.0 * self._pause_s)
+
+    def _regain(self) -> None:
+        self._pause_s = RETRY_FIRST_S
+        if self._is_lost:
+            self._is_lost = False
+            logger.bind(table=self._table).info("regained the store")
+            self._on_contact(StoreRegained(self._table))
--- /dev/null
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -0,0 +1,128 @@
+"""Rows of the platform's store, and what a client of it offers."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A row as it was read.
+
+    Attributes
+    ----------
+    key
+        Key within its table.
+    value
+        Bytes; empty for a dropped row.
+    version
+        Version of the store at the row's last change.
+    is_dropped
+        Whether the row no longer exists.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    is_dropped: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RowWrite:
+    """A row to write.
+
+    Attributes
+    ----------
+    key
+        Key within its table.
+    value
+        Bytes, or None to drop the row.
+    """
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedRow:
+    """A condition of a write: the row has this version; 0 means that it does not exist."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableState:
+    """All rows of a table as of one version of the store."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changed rows in order, up to a version of the store."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+class StoreUnavailableError(Exception):
+    """A call to the store that did not take effect, or whose effect is unknown.
+
+    Parameters
+    ----------
+    detail
+        Text for the log.
+    is_certain
+        Whether it is certain that nothing was done.
+    """
+
+    def __init__(self, detail: str, is_certain: bool = False) -> None:
+        super().__init__(detail)
+        self.is_certain = is_certain
+
+
+class ConditionFailedError(Exception):
+    """A conditional write whose condition did not hold; nothing was written."""
+
+
+class HistoryLostError(Exception):
+    """The store no longer has the changes that were asked for; the table is to be read anew."""
+
+
+class RowStore(Protocol):
+    """Client of the platform's store."""
+
+    def read_table(self, table: str) -> TableState:
+        """Return all rows of ``table``.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If there is no answer.
+        """
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed in ``table`` after version ``after``, at the latest in ``wait_s``.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If there is no answer.
+        HistoryLostError
+            If the store has dropped that part of its history.
+        """
+
+    def write(
+        self, table: str, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()
+    ) -> int:
+        """Write rows together if all of ``expected`` holds; return the version of the write.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If there is no answer; unless ``is_certain``, the write may still take effect.
+        ConditionFailedError
+            If a condition does not hold.
+        """
--- a/packages/damasktide/src/damasktide/runtime/clock.py
+++ b/packages/damasktide/src/damasktide/runtime/clock.py
@@ -19,6 +19,14 @@
         return time.monotonic()
 
 
+class LeaseClock:
+    """A clock that also runs while the machine is suspended, so that leases end in time."""
+
+    def now(self) -> float:
+        """Return the seconds since boot, suspended time included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that only moves when a test moves it.
 
--- a/packages/damasktide/src/damasktide/runtime/task.py
+++ b/packages/damasktide/src/damasktide/runtime/task.py
@@ -104,6 +104,10 @@
         """Queue ``message`` and return at once."""
         self._inbox.put(_Envelope(message, None))
 
+    def tell_later(self, message: object, delay_s: float) -> None:
+        """Queue ``message`` after ``delay_s`` seconds."""
+        gevent.spawn_later(delay_s, self.tell, message)
+
     def ask(self, message: object, timeout_s: float = DEFAULT_ASK_TIMEOUT_S) -> Any:
         """Queue ``message`` and wait for what its handler returns.
 
--- /dev/null
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -0,0 +1,120 @@
+"""Follows the listed targets: new lives, leaving, entries that lapse while the store is away."""
+
+from collections import defaultdict
+
+from damasktide.targets.target import TargetEntry, TargetView
+
+# Entries that lapsed during an outage of the store are back within two seconds of its return;
+# this long they are kept, counted from the first answer after the outage.
+LAPSE_GRACE_S = 2.2
+
+
+class TargetDirectory:
+    """State machine of the list of targets.
+
+    Versions are those of the store's rows, which only rise; an older row never replaces a newer
+    one, so a late or stale answer changes nothing.
+    """
+
+    def __init__(self) -> None:
+        self._entry_by_id: dict[str, TargetEntry] = {}
+        self._version_by_id: dict[str, int] = {}
+        self._evacuated_domains: frozenset[str] = frozenset()
+        self._missing_since_by_id: dict[str, float] = {}
+        self._is_store_lost = False
+        self._store_back_at = float("-inf")
+        self._view = TargetView()
+
+    @property
+    def view(self) -> TargetView:
+        """The present view."""
+        return self._view
+
+    def store_lost(self) -> None:
+        """Note that the store does not answer."""
+        self._is_store_lost = True
+
+    def store_returned(self, now: float) -> None:
+        """Note that the store answers again after an outage."""
+        self._is_store_lost = False
+        self._store_back_at = now
+
+    def listed(self, now: float, version: int, entry: TargetEntry) -> bool:
+        """Take in an entry; return whether it changed anything but a check-in.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        version
+            Version of the row.
+        entry
+            The entry.
+        """
+        if version <= self._version_by_id.get(entry.target_id, 0):
+            return False
+        known = self._entry_by_id.get(entry.target_id)
+        if known is not None and entry.started_at_ms < known.started_at_ms:
+            # A check-in of an earlier life that arrived late.
+            return False
+        self._version_by_id[entry.target_id] = version
+        self._missing_since_by_id.pop(entry.target_id, None)
+        if known == entry:
+            return False
+        self._entry_by_id[entry.target_id] = entry
+        self._rebuild()
+        return True
+
+    def unlisted(self, now: float, version: int, target_id: str) -> bool:
+        """Take in that an entry is gone; return whether the target is dropped at once."""
+        if version <= self._version_by_id.get(target_id, 0):
+            return False
+        self._version_by_id[target_id] = version
+        if target_id not in self._entry_by_id:
+            return False
+        if self._is_within_grace(now):
+            self._missing_since_by_id.setdefault(target_id, now)
+            return False
+        self._drop(target_id)
+        return True
+
+    def reconcile(self, now: float, version: int, listed_ids: frozenset[str]) -> None:
+        """Take in a complete list, read as of ``version``: targets that it lacks are gone."""
+        for target_id in set(self._entry_by_id) - listed_ids:
+            if self._version_by_id[target_id] < version:
+                self.unlisted(now, version, target_id)
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Drop and return targets that are still missing after the grace period."""
+        if not self._missing_since_by_id or self._is_within_grace(now):
+            return ()
+        gone = tuple(self._missing_since_by_id)
+        for target_id in gone:
+            self._drop(target_id)
+        return gone
+
+    def set_evacuated(self, domains: frozenset[str]) -> bool:
+        """Replace the failure domains whose targets get nothing; return whether it changed."""
+        if domains == self._evacuated_domains:
+            return False
+        self._evacuated_domains = domains
+        self._rebuild()
+        return True
+
+    def _is_within_grace(self, now: float) -> bool:
+        return self._is_store_lost or now < self._store_back_at + LAPSE_GRACE_S
+
+    def _drop(self, target_id: str) -> None:
+        self._missing_since_by_id.pop(target_id, None)
+        del self._entry_by_id[target_id]
+        self._rebuild()
+
+    def _rebuild(self) -> None:
+        view = TargetView(dict(self._entry_by_id), {}, self._evacuated_domains)
+        usable_by_service: dict[str, list[TargetEntry]] = defaultdict(list)
+        for target_id in sorted(self._entry_by_id):
+            entry = view.usable(target_id)
+            if entry is not None:
+                usable_by_service[entry.service].append(entry)
+        by_service = {service: tuple(found) for service, found in usable_by_service.items()}
+        self._view = TargetView(view.entry_by_id, by_service, self._evacuated_domains)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/targets/target.py
@@ -0,0 +1,75 @@
+"""A target as the platform lists it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class TargetState(Enum):
+    """Whether a target may be given work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEntry:
+    """What a target says of itself.
+
+    Attributes
+    ----------
+    target_id
+        Id.
+    started_at_ms
+        Start of this life of the target on its own clock; a new life has another value.
+    service, domain
+        Service and failure domain.
+    address
+        Host and port.
+    slots
+        Requests that it runs at once.
+    state
+        Whether it may be given work.
+    cold_left_s
+        Seconds for which it stayed cold when the entry was written.
+    """
+
+    target_id: str
+    started_at_ms: int
+    service: str
+    domain: str
+    address: tuple[str, int]
+    slots: int
+    state: TargetState
+    cold_left_s: float = 0.0
+
+    @property
+    def life(self) -> tuple[str, int]:
+        """Key of this life of the target."""
+        return (self.target_id, self.started_at_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetView:
+    """What the instance knows of the targets.
+
+    Attributes
+    ----------
+    entry_by_id
+        Listed targets, those that drain included.
+    usable_by_service
+        Targets that may be given work, in the order of their ids.
+    evacuated_domains
+        Failure domains whose targets get nothing.
+    """
+
+    entry_by_id: Mapping[str, TargetEntry] = field(default_factory=dict)
+    usable_by_service: Mapping[str, tuple[TargetEntry, ...]] = field(default_factory=dict)
+    evacuated_domains: frozenset[str] = frozenset()
+
+    def usable(self, target_id: str) -> TargetEntry | None:
+        """Return the target if it may be given work."""
+        entry = self.entry_by_id.get(target_id)
+        if entry is None or entry.state is not TargetState.READY:
+            return None
+        return None if entry.domain in self.evacuated_domains else entry
--- /dev/null
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -0,0 +1,139 @@
+"""Task that follows the platform's list of targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from loguru import logger
+
+from damasktide.rows.follower import (
+    BUSY_TABLE,
+    StoreLost,
+    StoreRegained,
+    TableChanged,
+    TableFollower,
+    TableRead,
+)
+from damasktide.rows.store import Row, RowStore
+from damasktide.runtime.published import Published
+from damasktide.runtime.task import Task, TaskFailed, every, handles
+from damasktide.targets.directory import TargetDirectory
+from damasktide.targets.target import TargetEntry, TargetView
+
+EXPIRY_PERIOD_S = 0.25
+
+
+class MalformedEntryError(ValueError):
+    """An entry of the list that cannot be read."""
+
+
+TargetDecoder = Callable[[Row], TargetEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuatedDomains:
+    """The failure domains whose targets are to get nothing."""
+
+    domains: frozenset[str]
+
+
+class TargetTask(Task):
+    """Owns the directory of targets and publishes its view.
+
+    Parameters
+    ----------
+    store
+        Client that only the follower of this task uses.
+    table
+        Table in which targets are listed.
+    decode
+        Reads an entry; raises :class:`MalformedEntryError` if it names no target to use.
+    on_change
+        Called with each new view.
+    on_failure
+        See :class:`damasktide.runtime.task.Task`.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        decode: TargetDecoder,
+        on_change: Callable[[TargetView], None],
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("targets", on_failure)
+        self.view: Published[TargetView] = Published(TargetView())
+        self.has_read = False
+        self._decode = decode
+        self._on_change = on_change
+        self._directory = TargetDirectory()
+        self._follower = TableFollower(store, table, self.tell, BUSY_TABLE, self.tell)
+
+    def on_start(self) -> None:
+        """Follow the table."""
+        self._follower.start()
+
+    @every(EXPIRY_PERIOD_S)
+    def _expire(self) -> None:
+        for target_id in self._directory.expire(monotonic()):
+            logger.bind(target=target_id).info("target is gone")
+        self._publish()
+
+    @handles(TableRead)
+    def _table_read(self, message: TableRead) -> None:
+        state = message.state
+        self._take_rows(state.rows)
+        listed_ids = frozenset(row.key for row in state.rows)
+        self._directory.reconcile(monotonic(), state.version, listed_ids)
+        self.has_read = True
+        self._publish()
+
+    @handles(TableChanged)
+    def _table_changed(self, message: TableChanged) -> None:
+        self._take_rows(message.changes.rows)
+        self._publish()
+
+    @handles(StoreLost)
+    def _store_lost(self, message: StoreLost) -> None:
+        # Entries may lapse while the store is away.
+        self._directory.store_lost()
+
+    @handles(StoreRegained)
+    def _store_regained(self, message: StoreRegained) -> None:
+        self._directory.store_returned(monotonic())
+
+    @handles(EvacuatedDomains)
+    def _evacuated(self, message: EvacuatedDomains) -> None:
+        if self._directory.set_evacuated(message.domains):
+            logger.bind(domains=sorted(message.domains)).info("evacuated failure domains changed")
+        self._publish()
+
+    def _take_rows(self, rows: tuple[Row, ...]) -> None:
+        now = monotonic()
+        for row in rows:
+            if row.is_dropped:
+                if self._directory.unlisted(now, row.version, row.key):
+                    logger.bind(target=row.key, version=row.version).info("target is gone")
+                continue
+            try:
+                entry = self._decode(row)
+            except MalformedEntryError as error:
+                logger.bind(target=row.key, version=row.version).warning(
+                    "entry left out: {}", error
+                )
+                continue
+            if self._directory.listed(now, row.version, entry):
+                logger.bind(
+                    target=row.key,
+                    version=row.version,
+                    state=entry.state.value,
+                    life=entry.started_at_ms,
+                    cold_s=entry.cold_left_s,
+                ).info("target changed")
+
+    def _publish(self) -> None:
+        view = self._directory.view
+        if view is not self.view.value:
+            self.view.publish(view)
+            self._on_change(view)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/targets/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the targets slice."""
