Add the gateway: dispatch by expected finish, attempts, refusals, graceful stop

A request goes to the target with the earliest expected finish, near ones first. What cannot be served in time is refused at once with a Retry-After.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -0,0 +1,211 @@
+"""A gateway instance: its tasks, its listeners and its graceful stop."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic, time
+
+import gevent
+from loguru import logger
+from prometheus_client import CollectorRegistry
+
+from damasktide.dispatch.dispatcher import Dispatcher
+from damasktide.gateway.dialect import Dialect
+from damasktide.gateway.handler import GatewayHandler, GatewayParts
+from damasktide.gateway.probe_listener import ProbeHandler
+from damasktide.gateway.telemetry import GatewayTelemetry
+from damasktide.http1.caller_connection import CallerConnection, CallerLimits
+from damasktide.http1.listener import Listener
+from damasktide.http1.pool import ConnectionPool
+from damasktide.keyspace.keeper_task import KeeperTask, KeyedServices, Resign, TargetsChanged
+from damasktide.keyspace.order_sender import OrderCodec
+from damasktide.keyspace.table import InstanceRecord
+from damasktide.lifecycle.state import Lifecycle, LifecycleSnapshot, Phase
+from damasktide.lifecycle.task import (
+    BeginDrain,
+    LifecycleTask,
+    MarkReady,
+    RequestFinished,
+    RequestStarted,
+)
+from damasktide.routing.configuration import RoutingConfiguration
+from damasktide.routing.task import RoutingTask, StatementDecoder
+from damasktide.rows.store import RowStore
+from damasktide.runtime.clock import MonotonicClock
+from damasktide.runtime.published import Published
+from damasktide.settings.gateway import GatewaySettings
+from damasktide.targets.target import TargetView
+from damasktide.targets.task import EvacuatedDomains, TargetDecoder, TargetTask
+
+# The platform asks each second and takes a machine out after two misses.
+SERVE_AFTER_DRAIN_S = 2.6
+# Left of the grace period when the last requests are given up.
+STOP_MARGIN_S = 0.5
+HOUSEKEEPING_PERIOD_S = 0.5
+READY_POLL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformAdapter:
+    """What an adapter to a platform provides.
+
+    Attributes
+    ----------
+    dialect
+        Header fields of callers and targets.
+    orders
+        Orders that grant keys.
+    open_store
+        Returns a new client of the store.
+    target_table, decode_target
+        Where targets are listed, and how an entry is read.
+    operator_table, decode_statement
+        Where operators write, and how a row is read.
+    readiness_path, metrics_path
+        Paths of the readiness check and of the metrics.
+    """
+
+    dialect: Dialect
+    orders: OrderCodec
+    open_store: Callable[[], RowStore]
+    target_table: str
+    decode_target: TargetDecoder
+    operator_table: str
+    decode_statement: StatementDecoder
+    readiness_path: str
+    metrics_path: str
+
+
+class GatewayInstance:
+    """Runs a gateway until it has drained.
+
+    Parameters
+    ----------
+    settings
+        Checked settings.
+    adapter
+        Adapter to the platform.
+    """
+
+    def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter) -> None:
+        self._settings = settings
+        boot = f"{time():.6f}"
+        record = InstanceRecord(settings.instance, boot, settings.domain)
+        registry = CollectorRegistry()
+        self._state: Published[LifecycleSnapshot] = Published(LifecycleSnapshot())
+        longest_s = settings.stop_grace_s - SERVE_AFTER_DRAIN_S - STOP_MARGIN_S
+        lifecycle = Lifecycle(SERVE_AFTER_DRAIN_S, longest_s)
+        self._lifecycle = LifecycleTask(
+            lifecycle, MonotonicClock(), self._state, (self._phase_changed,)
+        )
+        fail = self._lifecycle.tell
+        self._keeper = KeeperTask(record, adapter.open_store, adapter.orders, fail)
+        self._targets = TargetTask(
+            adapter.open_store(),
+            adapter.target_table,
+            adapter.decode_target,
+            self._targets_changed,
+            fail,
+        )
+        self._routing = RoutingTask(
+            adapter.open_store(),
+            adapter.operator_table,
+            adapter.decode_statement,
+            self._configured,
+            self._evacuated,
+            fail,
+        )
+        self._dispatcher = Dispatcher(settings.domain, settings.region_by_domain)
+        self._pool = ConnectionPool()
+        self._handler = GatewayHandler(self._parts(adapter, registry))
+        self._listener = Listener(
+            (settings.listen.host, settings.listen.port), self._limits, self._serve
+        )
+        probes = ProbeHandler(
+            adapter.readiness_path, adapter.metrics_path, lambda: self._state.value, registry
+        )
+        self._probe_listener = Listener(
+            (settings.readiness.host, settings.readiness.port), CallerLimits, probes.serve
+        )
+
+    def run(self) -> int:
+        """Run until the instance has drained; return the exit code."""
+        logger.bind(domain=self._settings.domain).info("instance starts")
+        self._probe_listener.start()
+        self._listener.start()
+        self._lifecycle.start()
+        self._targets.start()
+        self._routing.start()
+        self._keeper.start()
+        gevent.spawn(self._mark_ready)
+        gevent.spawn(self._keep_house)
+        exit_code = self._lifecycle.wait()
+        self._listener.stop_accepting()
+        logger.bind(exit_code=exit_code, in_flight=self._handler.in_flight).info("instance stops")
+        return exit_code if exit_code is not None else 1
+
+    def drain(self, reason: str = "signal") -> None:
+        """Begin a graceful stop."""
+        self._lifecycle.tell(BeginDrain(reason))
+
+    def _parts(self, adapter: PlatformAdapter, registry: CollectorRegistry) -> GatewayParts:
+        return GatewayParts(
+            adapter.dialect,
+            self._pool,
+            self._dispatcher,
+            lambda: self._routing.in_force.value,
+            lambda: self._keeper.maps.value,
+            lambda: self._keeper.instances.value.total,
+            lambda: self._state.value.closes_connections,
+            lambda: self._lifecycle.tell(RequestStarted()),
+            lambda: self._lifecycle.tell(RequestFinished()),
+            self._settings.retry_limits,
+            GatewayTelemetry(registry),
+        )
+
+    def _serve(self, caller: CallerConnection) -> None:
+        self._handler.serve(caller)
+
+    def _limits(self) -> CallerLimits:
+        in_force = self._routing.in_force.value
+        return in_force.configuration.limits if in_force is not None else CallerLimits()
+
+    def _mark_ready(self) -> None:
+        """Report ready when configuration, targets and maps have been read once."""
+        while self._routing.in_force.value is None or not self._targets.has_read:
+            gevent.sleep(READY_POLL_S)
+        self._lifecycle.tell(MarkReady())
+        logger.info("instance is ready")
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(HOUSEKEEPING_PERIOD_S)
+            self._pool.close_expired()
+            self._dispatcher.set_instances(self._keeper.instances.value)
+            if self._state.value.phase is Phase.REFUSING:
+                self._listener.close_idle()
+
+    def _targets_changed(self, view: TargetView) -> None:
+        known = self._targets.view.value
+        self._dispatcher.set_targets(monotonic(), view)
+        self._keeper.tell(TargetsChanged(view))
+        listed = {entry.address for entry in view.entry_by_id.values()}
+        for entry in known.entry_by_id.values():
+            if entry.address not in listed:
+                self._pool.discard(entry.address)
+
+    def _configured(self, configuration: RoutingConfiguration) -> None:
+        keyed = (
+            service.name for service in configuration.service_by_name.values() if service.is_keyed
+        )
+        self._keeper.tell(KeyedServices(frozenset(keyed)))
+
+    def _evacuated(self, domains: frozenset[str]) -> None:
+        self._targets.tell(EvacuatedDomains(domains))
+
+    def _phase_changed(self, snapshot: LifecycleSnapshot) -> None:
+        logger.bind(phase=snapshot.phase.value).info("phase changed")
+        if snapshot.phase is Phase.LEAVING:
+            self._keeper.tell(Resign())
+        if snapshot.phase is Phase.REFUSING:
+            self._listener.stop_accepting()
+            self._listener.close_idle()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the target of a request, or refuses it."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -0,0 +1,316 @@
+"""Decides where a request goes; a state machine without network."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from damasktide.dispatch.cold_start import ColdStartLimiter, InstanceCounts
+from damasktide.dispatch.load_estimate import LoadEstimate, LoadReport
+from damasktide.dispatch.policies import Policy, Ranking, dispatch_policies
+from damasktide.routing.configuration import Service
+from damasktide.targets.target import TargetEntry, TargetView
+
+# Added to the expected finish for each step away, as part of the route's objective. Bytes that
+# cross are paid for, so a target nearby is used until it would be that much later.
+DOMAIN_CROSSING = 0.25
+REGION_CROSSING = 0.5
+# Round trip between regions in seconds, which a caller waits for in any case.
+REGION_ROUND_TRIP_S = 0.06
+USUAL_WEIGHT = 0.05
+# Before the first response a call is expected to take this part of the objective.
+FIRST_USUAL_PART = 0.3
+# Calls that a target that sheds is assumed to have queued.
+SHED_QUEUE_CALLS = 6
+SHORTEST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0
+# Time in which a lost target is replaced or a key gets another owner.
+RECOVERY_RETRY_S = 0.8
+
+
+class NoTargetReason(Enum):
+    """Why a request is not sent."""
+
+    NONE_LISTED = "none_listed"
+    NONE_IN_REGIONS = "none_in_regions"
+    ALL_UNREACHABLE = "all_unreachable"
+    ALL_COLD = "all_cold"
+    TOO_LATE = "too_late"
+    ALL_TRIED = "all_tried"
+    OWNER_UNUSABLE = "owner_unusable"
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs.
+
+    Attributes
+    ----------
+    service
+        The service.
+    route
+        Name of its route, by which usual times are learned.
+    objective_s
+        Time within which the response has its full value.
+    left_s
+        Time left until the request is given up.
+    regions
+        Regions in which it may be served; empty allows all.
+    owner_id
+        The target that holds the request's key, or None if any target will do.
+    tried_ids
+        Targets to which it was sent before.
+    """
+
+    service: Service
+    route: str
+    objective_s: float
+    left_s: float
+    regions: frozenset[str] = frozenset()
+    owner_id: str | None = None
+    tried_ids: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """The target of one send.
+
+    Attributes
+    ----------
+    entry
+        The target.
+    expected_s
+        Expected time to the response.
+    calls
+        Estimated calls at the target before this one.
+    """
+
+    entry: TargetEntry
+    expected_s: float
+    calls: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotChosen:
+    """No target can serve the request now.
+
+    Attributes
+    ----------
+    reason
+        Why.
+    retry_after_s
+        Time after which another try is useful.
+    """
+
+    reason: NoTargetReason
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class SendOutcome:
+    """How a send ended.
+
+    Attributes
+    ----------
+    entry
+        The target.
+    route
+        Name of the request's route.
+    duration_s
+        Time from the send to the response's head, or to the failure.
+    has_failed
+        Whether the target failed the request.
+    is_shed
+        Whether the target turned the request away as full.
+    is_unreachable
+        Whether the target accepted no connection.
+    report
+        The target's load report, if the response carried one.
+    """
+
+    entry: TargetEntry
+    route: str
+    duration_s: float
+    has_failed: bool = False
+    is_shed: bool = False
+    is_unreachable: bool = False
+    report: LoadReport | None = None
+
+
+class Dispatcher:
+    """Chooses targets by their expected finish, near ones first.
+
+    Parameters
+    ----------
+    domain, region_by_domain
+        Failure domain of this instance, and the region of each failure domain.
+    rng
+        Source of randomness.
+    policy
+        Name of the policy that ranks targets.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        region_by_domain: Mapping[str, str],
+        rng: Random | None = None,
+        policy: str = "expected_finish",
+    ) -> None:
+        self._domain = domain
+        self._region_by_domain = region_by_domain
+        self._region = region_by_domain.get(domain, "")
+        self._rng = rng or Random()
+        self._policy: Policy = dispatch_policies.get(policy)
+        self._view = TargetView()
+        self._counts = InstanceCounts()
+        self._estimate_by_life: dict[tuple[str, int], LoadEstimate] = {}
+        self._cold_limiter = ColdStartLimiter(domain)
+        self._usual_s_by_route: dict[str, float] = {}
+
+    def set_targets(self, now: float, view: TargetView) -> None:
+        """Replace what is known of the targets."""
+        known = self._estimate_by_life
+        self._view = view
+        self._estimate_by_life = {}
+        for entry in view.entry_by_id.values():
+            estimate = known.get(entry.life) or LoadEstimate(entry)
+            is_news = entry.life not in known or estimate.entry.cold_left_s != entry.cold_left_s
+            if is_news and entry.cold_left_s > 0.0:
+                estimate.cold_until = now + entry.cold_left_s
+            estimate.entry = entry
+            self._estimate_by_life[entry.life] = estimate
+        self._cold_limiter.forget(set(view.entry_by_id))
+
+    def set_instances(self, counts: InstanceCounts) -> None:
+        """Replace the counts of instances that share a cold target."""
+        self._counts = counts
+
+    def usual_s(self, route: str, objective_s: float) -> float:
+        """Return the time that a call of ``route`` usually takes."""
+        return self._usual_s_by_route.get(route, FIRST_USUAL_PART * objective_s)
+
+    def choose(self, now: float, wanted: Wanted) -> Chosen | NotChosen:
+        """Choose a target and count the call as in flight until :meth:`ended`."""
+        found = (
+            self._owner(now, wanted) if wanted.owner_id is not None else self._best(now, wanted)
+        )
+        if isinstance(found, NotChosen):
+            return found
+        calls = found.calls(now)
+        usual_s = self.usual_s(wanted.route, wanted.objective_s)
+        expected_s = found.finish_s(now, usual_s) + self._round_trip_s(found.entry.domain)
+        if found.is_cold(now):
+            self._cold_limiter.sent(now, found.entry.target_id)
+        found.in_flight += 1
+        return Chosen(found.entry, expected_s, calls)
+
+    def ended(self, now: float, outcome: SendOutcome) -> None:
+        """Take in the end of a call."""
+        estimate = self._estimate_by_life.get(outcome.entry.life)
+        if estimate is None:
+            return
+        if outcome.report is not None:
+            estimate.take_report(now, outcome.report)
+        estimate.in_flight = max(0, estimate.in_flight - 1)
+        if outcome.is_unreachable:
+            estimate.take_unreachable(now)
+            return
+        estimate.take_connected()
+        estimate.take_outcome(now, outcome.has_failed or outcome.is_shed)
+        if outcome.is_shed:
+            estimate.take_shed(now, SHED_QUEUE_CALLS)
+        elif not outcome.has_failed:
+            self._learn(now, estimate, outcome)
+
+    def _learn(self, now: float, estimate: LoadEstimate, outcome: SendOutcome) -> None:
+        round_trip_s = self._round_trip_s(outcome.entry.domain)
+        work_s = max(0.001, outcome.duration_s - round_trip_s)
+        usual_s = self._usual_s_by_route.get(outcome.route)
+        if usual_s is None:
+            self._usual_s_by_route[outcome.route] = work_s
+            return
+        estimate.take_speed(work_s / (usual_s * estimate.slowdown(now)))
+        self._usual_s_by_route[outcome.route] = usual_s + USUAL_WEIGHT * (work_s - usual_s)
+
+    def _owner(self, now: float, wanted: Wanted) -> LoadEstimate | NotChosen:
+        assert wanted.owner_id is not None
+        entry = self._view.usable(wanted.owner_id)
+        if entry is None or not self._is_allowed(entry, wanted):
+            return NotChosen(NoTargetReason.OWNER_UNUSABLE, RECOVERY_RETRY_S)
+        estimate = self._estimate_by_life[entry.life]
+        if now < estimate.unreachable_until:
+            return NotChosen(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_S)
+        if not self._admits_cold(now, estimate, wanted.service):
+            return NotChosen(NoTargetReason.ALL_COLD, RECOVERY_RETRY_S)
+        usual_s = self.usual_s(wanted.route, wanted.objective_s)
+        return self._in_time(estimate, estimate.finish_s(now, usual_s), wanted)
+
+    def _best(self, now: float, wanted: Wanted) -> LoadEstimate | NotChosen:
+        usable = self._view.usable_by_service.get(wanted.service.name, ())
+        if not usable:
+            return NotChosen(NoTargetReason.NONE_LISTED, RECOVERY_RETRY_S)
+        allowed = [entry for entry in usable if self._is_allowed(entry, wanted)]
+        if not allowed:
+            return NotChosen(NoTargetReason.NONE_IN_REGIONS, RECOVERY_RETRY_S)
+        untried = [entry for entry in allowed if entry.target_id not in wanted.tried_ids]
+        if not untried:
+            return NotChosen(NoTargetReason.ALL_TRIED, SHORTEST_RETRY_S)
+        estimates = [self._estimate_by_life[entry.life] for entry in untried]
+        reachable = [item for item in estimates if now >= item.unreachable_until]
+        if not reachable:
+            return NotChosen(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_S)
+        ranked = self._ranked(now, reachable, wanted)
+        for _, estimate in ranked:
+            if self._admits_cold(now, estimate, wanted.service):
+                usual_s = self.usual_s(wanted.route, wanted.objective_s)
+                return self._in_time(estimate, estimate.finish_s(now, usual_s), wanted)
+        return NotChosen(NoTargetReason.ALL_COLD, RECOVERY_RETRY_S)
+
+    def _ranked(
+        self, now: float, estimates: list[LoadEstimate], wanted: Wanted
+    ) -> list[tuple[float, LoadEstimate]]:
+        ranking = Ranking(now, self.usual_s(wanted.route, wanted.objective_s))
+        ranked = [
+            (
+                self._policy(estimate, ranking, self._rng)
+                + self._crossing_s(estimate.entry.domain, wanted.objective_s),
+                estimate,
+            )
+            for estimate in estimates
+        ]
+        ranked.sort(key=lambda item: item[0])
+        return ranked
+
+    def _in_time(
+        self, estimate: LoadEstimate, finish_s: float, wanted: Wanted
+    ) -> LoadEstimate | NotChosen:
+        """Refuse at once what would probably not be answered in time."""
+        late_s = finish_s + self._round_trip_s(estimate.entry.domain) - wanted.left_s
+        if late_s <= 0.0:
+            return estimate
+        return NotChosen(
+            NoTargetReason.TOO_LATE, min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, late_s))
+        )
+
+    def _admits_cold(self, now: float, estimate: LoadEstimate, service: Service) -> bool:
+        if not estimate.is_cold(now) or service.cold_requests_per_s <= 0.0:
+            return True
+        entry = estimate.entry
+        return self._cold_limiter.admits(
+            now, entry.target_id, entry.domain, service.cold_requests_per_s, self._counts
+        )
+
+    def _is_allowed(self, entry: TargetEntry, wanted: Wanted) -> bool:
+        return not wanted.regions or self._region_by_domain.get(entry.domain) in wanted.regions
+
+    def _crossing_s(self, domain: str, objective_s: float) -> float:
+        if domain == self._domain:
+            return 0.0
+        if self._region_by_domain.get(domain) == self._region:
+            return DOMAIN_CROSSING * objective_s
+        return REGION_CROSSING * objective_s + REGION_ROUND_TRIP_S
+
+    def _round_trip_s(self, domain: str) -> float:
+        is_near = self._region_by_domain.get(domain) == self._region
+        return 0.0 if is_near else REGION_ROUND_TRIP_S
--- /dev/null
+++ b/packages/damasktide/src/damasktide/dispatch/policies.py
@@ -0,0 +1,55 @@
+"""Policies that rank the targets of a service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from damasktide.dispatch.load_estimate import LoadEstimate
+from damasktide.runtime.registry import Registry
+
+# Failing calls come back soon, so a target that fails looks fast; each failure costs the caller
+# about this many calls.
+FAILURE_CALLS = 6.0
+# Instances that see the same reports must not all choose the same target.
+JITTER = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class Ranking:
+    """What a policy may use besides the target's own estimate.
+
+    Attributes
+    ----------
+    now
+        Monotonic time in seconds.
+    usual_s
+        Time that such a call usually takes.
+    """
+
+    now: float
+    usual_s: float
+
+
+Policy = Callable[[LoadEstimate, Ranking, Random], float]
+dispatch_policies: Registry[str, Policy] = Registry("dispatch policy")
+
+
+@dispatch_policies.register("expected_finish")
+def expected_finish(estimate: LoadEstimate, ranking: Ranking, rng: Random) -> float:
+    """Return the expected seconds to the end of the call, failures counted as repeated calls."""
+    now, usual_s = ranking.now, ranking.usual_s
+    failures_s = FAILURE_CALLS * usual_s * estimate.failure_ratio(now)
+    return estimate.finish_s(now, usual_s) * (1.0 + JITTER * rng.random()) + failures_s
+
+
+@dispatch_policies.register("least_calls")
+def least_calls(estimate: LoadEstimate, ranking: Ranking, rng: Random) -> float:
+    """Return the estimated calls per slot, as time; speed and failures are ignored."""
+    calls = estimate.calls(ranking.now) + rng.random()
+    return calls / max(1, estimate.entry.slots) * ranking.usual_s
+
+
+@dispatch_policies.register("random")
+def random_choice(estimate: LoadEstimate, ranking: Ranking, rng: Random) -> float:
+    """Return a random rank."""
+    return rng.random() * ranking.usual_s
--- /dev/null
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -0,0 +1,47 @@
+"""Settings of an instance that serves as a gateway on a platform."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from damasktide.dispatch.retry_allowance import RetryLimits
+from damasktide.settings.model import Address
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Checked settings of a gateway instance.
+
+    Attributes
+    ----------
+    instance
+        Name of the machine.
+    domain
+        Its failure domain.
+    region_by_domain
+        Region of each failure domain.
+    listen
+        Address for callers.
+    readiness
+        Address at which the platform asks whether new connections may come.
+    store
+        Address of the platform's store.
+    retry_limits
+        Bound on further sends over all instances.
+    stop_grace_s
+        Time from the request to stop to the end of the process.
+    longest_hold_s
+        Longest time for which keys may be granted.
+    log_level
+        Lowest level that is logged.
+    """
+
+    instance: str
+    domain: str
+    region_by_domain: Mapping[str, str]
+    listen: Address
+    readiness: Address
+    store: Address
+    retry_limits: RetryLimits = field(default_factory=RetryLimits)
+    stop_grace_s: float = 6.0
+    longest_hold_s: float = 10.0
+    log_level: str = "INFO"
