Grant keys to targets: leader, map in the store, fenced grants and releases

Renewals under an unchanged map need no store. A change of the map is one conditional write; the next holder is granted the keys when the previous ones have released them, have ended, or are silent by time.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -0,0 +1,85 @@
+"""Encoding of the rows of this slice, as JSON."""
+
+import json
+from typing import Any
+
+from damasktide.keyspace.key_map import KeyMap, KeyRange, Life
+from damasktide.keyspace.leadership import LeaderRecord
+from damasktide.keyspace.table import InstanceRecord
+
+
+class MalformedRowError(ValueError):
+    """A row that cannot be read."""
+
+
+def encode_map(key_map: KeyMap) -> bytes:
+    """Return the row of ``key_map``."""
+    ranges = [
+        [item.first, item.last, *item.holder, item.fence, item.is_granted, item.previous]
+        for item in key_map.ranges
+    ]
+    return json.dumps({"last_fence": key_map.last_fence, "ranges": ranges}).encode()
+
+
+def decode_map(service: str, version: int, value: bytes) -> KeyMap:
+    """Return the map of a row.
+
+    Raises
+    ------
+    MalformedRowError
+        If the row cannot be read.
+    """
+    try:
+        document = json.loads(value)
+        ranges = tuple(_decode_range(item) for item in document["ranges"])
+        return KeyMap(service, version, int(document["last_fence"]), ranges)
+    except (ValueError, KeyError, TypeError) as error:
+        raise MalformedRowError(f"map of {service}: {error}") from error
+
+
+def encode_leader(record: LeaderRecord) -> bytes:
+    """Return the row of the leader."""
+    return json.dumps({"instance": record.instance, "boot": record.boot}).encode()
+
+
+def decode_leader(version: int, value: bytes) -> LeaderRecord:
+    """Return the leader of a row.
+
+    Raises
+    ------
+    MalformedRowError
+        If the row cannot be read.
+    """
+    try:
+        document = json.loads(value)
+        return LeaderRecord(str(document["instance"]), str(document["boot"]), version)
+    except (ValueError, KeyError, TypeError) as error:
+        raise MalformedRowError(f"leader: {error}") from error
+
+
+def encode_instance(record: InstanceRecord) -> bytes:
+    """Return the row of an instance."""
+    return json.dumps({"boot": record.boot, "domain": record.domain}).encode()
+
+
+def decode_instance(name: str, value: bytes) -> InstanceRecord:
+    """Return the instance of a row.
+
+    Raises
+    ------
+    MalformedRowError
+        If the row cannot be read.
+    """
+    try:
+        document = json.loads(value)
+        return InstanceRecord(name, str(document["boot"]), str(document["domain"]))
+    except (ValueError, KeyError, TypeError) as error:
+        raise MalformedRowError(f"instance {name}: {error}") from error
+
+
+def _decode_range(item: list[Any]) -> KeyRange:
+    first, last, holder, started, fence, is_granted, previous = item
+    lives: tuple[Life, ...] = tuple((str(name), int(start)) for name, start in previous)
+    return KeyRange(
+        int(first), int(last), (str(holder), int(started)), int(fence), bool(is_granted), lives
+    )
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/contacts.py
@@ -0,0 +1,60 @@
+"""Which targets can be reached with orders."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from damasktide.keyspace.key_map import Life
+
+# A target whose grants fail for this long has its keys moved.
+LOST_AFTER_S = 0.9
+# A target that was given up gets no keys for this time.
+LEFT_OUT_S = 4.0
+# With more than this part of the targets out of reach the instance itself is cut off, and moving
+# keys would only take them from targets that others can reach.
+CUT_OFF_PART = 0.5
+
+
+@dataclass(slots=True)
+class _Contact:
+    failing_since: float | None = None
+    left_out_until: float = float("-inf")
+
+
+class Contacts:
+    """Remembers which lives of targets fail to answer orders."""
+
+    def __init__(self) -> None:
+        self._contact_by_life: dict[Life, _Contact] = {}
+
+    def answered(self, life: Life) -> None:
+        """Note an answer."""
+        contact = self._contact_by_life.get(life)
+        if contact is not None:
+            contact.failing_since = None
+
+    def failed(self, now: float, life: Life, has_ended: bool) -> None:
+        """Note an order without an answer, or that the process has ended."""
+        contact = self._contact_by_life.setdefault(life, _Contact())
+        if contact.failing_since is None:
+            contact.failing_since = now
+        if has_ended or now - contact.failing_since >= LOST_AFTER_S:
+            contact.left_out_until = now + LEFT_OUT_S
+
+    def is_left_out(self, now: float, life: Life) -> bool:
+        """Return whether the target is to hold no keys at present."""
+        contact = self._contact_by_life.get(life)
+        return contact is not None and now < contact.left_out_until
+
+    def reachable(self, now: float, lives: Iterable[Life]) -> frozenset[Life]:
+        """Return the lives that may hold keys; all of them if this instance seems cut off."""
+        known = frozenset(lives)
+        found = frozenset(life for life in known if not self.is_left_out(now, life))
+        return found if len(known) - len(found) <= CUT_OFF_PART * len(known) else known
+
+    def keep_only(self, target_ids: frozenset[str]) -> None:
+        """Forget targets other than ``target_ids``."""
+        self._contact_by_life = {
+            life: contact
+            for life, contact in self._contact_by_life.items()
+            if life[0] in target_ids
+        }
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/order_sender.py
@@ -0,0 +1,146 @@
+"""Sends orders to one target; owns the connections for it."""
+
+from collections.abc import Callable
+from time import monotonic
+from typing import Protocol
+
+import gevent
+from loguru import logger
+
+from damasktide.http1.errors import CallError, CallFailure
+from damasktide.http1.messages import ResponseHead
+from damasktide.http1.server_connection import ServerConnection
+from damasktide.keyspace.messages import Grant, GrantEnded, OrderResult, Release, ReleaseEnded
+from damasktide.runtime.clock import LeaseClock
+from damasktide.runtime.task import Task, handles
+
+CONNECT_TIMEOUT_S = 0.5
+GRANT_TIMEOUT_S = 0.8
+# A release is answered when the work on the keys has ended.
+RELEASE_TIMEOUT_S = 4.0
+# Shorter than the time after which targets close idle connections.
+IDLE_LIMIT_S = 4.0
+
+
+class OrderCodec(Protocol):
+    """Writes orders as requests and reads their answers."""
+
+    def grant_request(self, grant: Grant) -> bytes:
+        """Return the request of a grant."""
+
+    def release_request(self, release: Release) -> bytes:
+        """Return the request of a release."""
+
+    def result(self, head: ResponseHead) -> OrderResult:
+        """Return what an answer says."""
+
+    def handover(self, head: ResponseHead) -> str | None:
+        """Return the handover in the answer to a release, if there is one."""
+
+
+class OrderSender(Task):
+    """Sends grants one after the other, and each release beside them.
+
+    Parameters
+    ----------
+    address
+        Host and port of the target.
+    codec
+        Writes and reads orders.
+    notify
+        Receives :class:`GrantEnded` and :class:`ReleaseEnded`.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        codec: OrderCodec,
+        notify: Callable[[GrantEnded | ReleaseEnded], None],
+    ) -> None:
+        super().__init__(f"orders-{address[0]}:{address[1]}")
+        self._address = address
+        self._codec = codec
+        self._notify = notify
+        self._clock = LeaseClock()
+        self._connection: ServerConnection | None = None
+
+    def on_stop(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+
+    @handles(Grant)
+    def _grant(self, grant: Grant) -> None:
+        if self._clock.now() >= grant.not_after:
+            self._notify(GrantEnded(grant, OrderResult.NOT_SENT, self._clock.now()))
+            return
+        result = self._try_grant(grant)
+        self._notify(GrantEnded(grant, result, self._clock.now()))
+
+    @handles(Release)
+    def _release(self, release: Release) -> None:
+        gevent.spawn(self._run_release, release)
+
+    def _try_grant(self, grant: Grant) -> OrderResult:
+        try:
+            connection = self._open()
+            if self._clock.now() >= grant.not_after:
+                return OrderResult.NOT_SENT
+            head = self._call(connection, self._codec.grant_request(grant), GRANT_TIMEOUT_S)
+        except CallError as error:
+            self._drop()
+            return _result_of(error)
+        connection.idle_since = monotonic()
+        if not connection.is_reusable():
+            self._drop()
+        return self._codec.result(head)
+
+    def _open(self) -> ServerConnection:
+        connection = self._connection
+        if connection is not None:
+            idle_s = monotonic() - connection.idle_since
+            if idle_s < IDLE_LIMIT_S and not connection.has_unexpected_input():
+                return connection
+            self._drop()
+        self._connection = ServerConnection(self._address)
+        self._connection.connect(CONNECT_TIMEOUT_S)
+        return self._connection
+
+    def _drop(self) -> None:
+        """Reset the connection, so that a grant held up on its way is discarded."""
+        if self._connection is not None:
+            self._connection.reset()
+            self._connection = None
+
+    def _run_release(self, release: Release) -> None:
+        connection = ServerConnection(self._address)
+        handover = None
+        try:
+            connection.connect(CONNECT_TIMEOUT_S)
+            request = self._codec.release_request(release)
+            head = self._call(connection, request, RELEASE_TIMEOUT_S)
+            result = self._codec.result(head)
+            handover = self._codec.handover(head)
+        except CallError as error:
+            result = _result_of(error)
+        finally:
+            connection.reset()
+        self._notify(ReleaseEnded(release, result, handover))
+
+    @staticmethod
+    def _call(connection: ServerConnection, request: bytes, timeout_s: float) -> ResponseHead:
+        until = monotonic() + timeout_s
+        connection.send(request)
+        head = connection.read_head(b"POST", until)
+        for _ in connection.read_body(until):
+            pass
+        return head
+
+
+def _result_of(error: CallError) -> OrderResult:
+    logger.debug("order failed: {}", error)
+    if error.is_refused:
+        return OrderResult.REFUSED_CONNECTION
+    if error.failure in (CallFailure.NOT_CONNECTED, CallFailure.NOT_SENT):
+        return OrderResult.UNREACHABLE
+    return OrderResult.FAILED
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/planner.py
@@ -0,0 +1,158 @@
+"""Plans which target is to hold which keys, with few changes; pure functions."""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from damasktide.keyspace.key_map import KEY_COUNT, KeyMap, KeyRange, Life, merged
+
+# A target with less than this part of its fair share gets keys of the fullest ones.
+LEAST_FAIR_PART = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """A target that can hold keys.
+
+    Attributes
+    ----------
+    life
+        Life of the target.
+    slots
+        Requests that it runs at once; its fair share is in proportion.
+    """
+
+    life: Life
+    slots: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class _Piece:
+    """Keys to be given to another holder."""
+
+    source: KeyRange | None
+    first: int
+    last: int
+
+    @property
+    def size(self) -> int:
+        return self.last - self.first + 1
+
+
+def plan(key_map: KeyMap, holders: Sequence[Holder]) -> KeyMap:
+    """Return the map in which each key is held by one of ``holders``.
+
+    Keys of holders that are missing are given to those with the least for their slots. A holder
+    with less than ``LEAST_FAIR_PART`` of its share gets keys from the fullest. All other keys
+    stay. The result is equal to ``key_map`` if nothing is to change.
+    """
+    if not holders:
+        return key_map
+    by_life = {holder.life: holder for holder in holders}
+    fair_by_life = _fair_shares(holders)
+    kept = [item for item in key_map.ranges if item.holder in by_life]
+    pool = [_Piece(None, first, last) for first, last in _gaps(key_map.ranges)]
+    pool += [
+        _Piece(item, item.first, item.last)
+        for item in key_map.ranges
+        if item.holder not in by_life
+    ]
+    size_by_life = dict.fromkeys(by_life, 0)
+    for item in kept:
+        size_by_life[item.holder] += item.size
+    kept, freed = _take_surplus(kept, size_by_life, fair_by_life, sum(p.size for p in pool))
+    pool += freed
+    if not pool:
+        return key_map
+    fence = key_map.last_fence
+    added = []
+    for piece, life in _deal(pool, size_by_life, fair_by_life):
+        fence += 1
+        added.append(_assigned(piece, life, fence))
+    ranges = sorted((*kept, *added), key=lambda item: item.first)
+    return replace(key_map, last_fence=fence, ranges=tuple(merged(ranges)))
+
+
+def move(key_map: KeyMap, first: int, last: int, life: Life) -> KeyMap:
+    """Return the map in which ``life`` holds the keys from ``first`` to ``last``."""
+    fence = key_map.last_fence + 1
+    ranges: list[KeyRange] = []
+    for item in key_map.ranges:
+        if item.last < first or item.first > last or item.holder == life:
+            ranges.append(item)
+            continue
+        if item.first < first:
+            ranges.append(item.part(item.first, first - 1))
+        start, end = max(first, item.first), min(last, item.last)
+        ranges.append(_assigned(_Piece(item, start, end), life, fence))
+        if item.last > last:
+            ranges.append(item.part(last + 1, item.last))
+    return replace(key_map, last_fence=fence, ranges=tuple(merged(ranges)))
+
+
+def _fair_shares(holders: Iterable[Holder]) -> dict[Life, float]:
+    slots_by_life = {holder.life: max(1, holder.slots) for holder in holders}
+    total = sum(slots_by_life.values())
+    return {life: KEY_COUNT * slots / total for life, slots in slots_by_life.items()}
+
+
+def _gaps(ranges: Iterable[KeyRange]) -> Iterator[tuple[int, int]]:
+    following = 0
+    for item in ranges:
+        if item.first > following:
+            yield following, item.first - 1
+        following = item.last + 1
+    if following < KEY_COUNT:
+        yield following, KEY_COUNT - 1
+
+
+def _take_surplus(
+    kept: list[KeyRange],
+    size_by_life: dict[Life, int],
+    fair_by_life: Mapping[Life, float],
+    pooled: int,
+) -> tuple[list[KeyRange], list[_Piece]]:
+    """Take keys from the fullest holders for those far below their share."""
+    needed = 0
+    for life, fair in fair_by_life.items():
+        if size_by_life[life] < LEAST_FAIR_PART * fair:
+            needed += int(fair) - size_by_life[life]
+    missing = needed - pooled
+    freed: list[_Piece] = []
+    while missing > 0:
+        fullest = max(size_by_life, key=lambda life: size_by_life[life] - fair_by_life[life])
+        surplus = size_by_life[fullest] - int(fair_by_life[fullest])
+        if surplus <= 0:
+            break
+        item = max((r for r in kept if r.holder == fullest), key=lambda r: r.size)
+        amount = min(surplus, missing, item.size)
+        kept.remove(item)
+        if amount < item.size:
+            kept.append(item.part(item.first, item.last - amount))
+        freed.append(_Piece(item, item.last - amount + 1, item.last))
+        size_by_life[fullest] -= amount
+        missing -= amount
+    return kept, freed
+
+
+def _deal(
+    pool: list[_Piece], size_by_life: dict[Life, int], fair_by_life: Mapping[Life, float]
+) -> Iterator[tuple[_Piece, Life]]:
+    """Yield the pieces, cut where needed, with the holder that gets each."""
+    for piece in sorted(pool, key=lambda item: item.first):
+        rest: _Piece | None = piece
+        while rest is not None:
+            life = max(fair_by_life, key=lambda item: fair_by_life[item] - size_by_life[item])
+            room = max(1, round(fair_by_life[life] - size_by_life[life]))
+            given = replace(rest, last=min(rest.last, rest.first + room - 1))
+            size_by_life[life] += given.size
+            yield given, life
+            rest = replace(rest, first=given.last + 1) if given.last < rest.last else None
+
+
+def _assigned(piece: _Piece, life: Life, fence: int) -> KeyRange:
+    source = piece.source
+    if source is None:
+        return KeyRange(piece.first, piece.last, life, fence)
+    # The present holder may have been sent a grant before it accepted one.
+    previous = tuple(dict.fromkeys((*source.previous, source.holder)))
+    return KeyRange(piece.first, piece.last, life, fence, False, previous)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -0,0 +1,99 @@
+"""Writes the rows of this slice; owns its connection to the store."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from damasktide.keyspace.codec import encode_instance, encode_leader, encode_map
+from damasktide.keyspace.leadership import LeaderRecord
+from damasktide.keyspace.messages import (
+    LeaderWritten,
+    MapWritten,
+    RegisterInstance,
+    WriteLeader,
+    WriteMap,
+    WriteResult,
+)
+from damasktide.keyspace.table import (
+    LEADER_KEY,
+    TABLE,
+    InstanceRecord,
+    instance_key,
+    map_key,
+)
+from damasktide.rows.store import (
+    ConditionFailedError,
+    ExpectedRow,
+    RowStore,
+    RowWrite,
+    StoreUnavailableError,
+)
+from damasktide.runtime.clock import LeaseClock
+from damasktide.runtime.task import Task, handles
+
+# Pause before the row of this instance is written again after a failure.
+REGISTER_RETRY_S = 0.5
+
+
+class StoreWriter(Task):
+    """Makes one write after the other, so that a slow store does not hold up grants.
+
+    Parameters
+    ----------
+    store
+        Client that only this task uses.
+    instance
+        This instance.
+    notify
+        Receives :class:`MapWritten` and :class:`LeaderWritten`.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        instance: InstanceRecord,
+        notify: Callable[[MapWritten | LeaderWritten], None],
+    ) -> None:
+        super().__init__("store-writer")
+        self._store = store
+        self._instance = instance
+        self._notify = notify
+        self._clock = LeaseClock()
+
+    @handles(WriteMap)
+    def _write_map(self, write: WriteMap) -> None:
+        key_map = write.key_map
+        key = map_key(key_map.service)
+        expected = (
+            ExpectedRow(key, key_map.version),
+            ExpectedRow(LEADER_KEY, write.leader_version),
+        )
+        result, version = self._write(RowWrite(key, encode_map(key_map)), expected)
+        self._notify(MapWritten(write, result, version))
+
+    @handles(WriteLeader)
+    def _write_leader(self, write: WriteLeader) -> None:
+        asked_at = self._clock.now()
+        record = LeaderRecord()
+        if not write.resigns:
+            record = LeaderRecord(self._instance.name, self._instance.boot)
+        row = RowWrite(LEADER_KEY, encode_leader(record))
+        result, version = self._write(row, (ExpectedRow(LEADER_KEY, write.version),))
+        self._notify(LeaderWritten(write, result, asked_at, version))
+
+    @handles(RegisterInstance)
+    def _register(self, message: RegisterInstance) -> None:
+        value = None if message.is_leaving else encode_instance(self._instance)
+        result, _ = self._write(RowWrite(instance_key(self._instance.name), value), ())
+        if result is not WriteResult.WRITTEN and not message.is_leaving:
+            self.tell_later(message, REGISTER_RETRY_S)
+
+    def _write(self, row: RowWrite, expected: tuple[ExpectedRow, ...]) -> tuple[WriteResult, int]:
+        try:
+            return WriteResult.WRITTEN, self._store.write(TABLE, (row,), expected)
+        except ConditionFailedError:
+            logger.bind(row=row.key).info("another instance has written first")
+            return WriteResult.CONFLICT, 0
+        except StoreUnavailableError as error:
+            logger.bind(row=row.key, detail=str(error)).warning("write to the store failed")
+            return WriteResult.UNKNOWN, 0
