--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -104,6 +104,7 @@
             adapter.target_table,
             adapter.decode_target,
             self._targets_changed,
+            self._store_lost,
             fail,
         )
         self._routing = RoutingTask(
@@ -193,6 +194,10 @@
             if entry.address not in listed:
                 self._pool.discard(entry.address)
 
+    def _store_lost(self) -> None:
+        self._routing.store_lost()
+        self._keeper.store_lost()
+
     def _configured(self, configuration: RoutingConfiguration) -> None:
         keyed = (
             service.name for service in configuration.service_by_name.values() if service.is_keyed
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from zlib import crc32
 
 from loguru import logger
 
@@ -31,11 +32,12 @@
 from damasktide.keyspace.table import (
     INSTANCE_PREFIX,
     LEADER_KEY,
+    LEADER_TABLE,
     MAP_PREFIX,
     TABLE,
     InstanceRecord,
 )
-from damasktide.rows.follower import TableChanged, TableFollower, TableRead
+from damasktide.rows.follower import FollowPace, TableChanged, TableFollower, TableRead
 from damasktide.rows.store import Row, RowStore
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
@@ -43,6 +45,10 @@
 from damasktide.targets.target import TargetView
 
 TICK_S = 0.1
+# Instances that notice the loss of the leader at once; the others do some seconds later.
+STANDBYS = 3
+STANDBY_PACE = FollowPace(gap_s=0.3, wait_s=1.0)
+BYSTANDER_PACE = FollowPace(gap_s=4.0, wait_s=1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +95,13 @@
         super().__init__("keeper", on_failure)
         self.maps: Published[Mapping[str, KeyMap]] = Published({})
         self.instances: Published[InstanceCounts] = Published(InstanceCounts())
+        self._name = instance.name
         self._clock = LeaseClock()
         self._codec = codec
         self._keeper = Keeper(Leadership(instance.name, instance.boot))
         self._writer = StoreWriter(open_store(), instance, self.tell)
         self._follower = TableFollower(open_store(), TABLE, self.tell)
+        self._leader_follower = TableFollower(open_store(), LEADER_TABLE, self.tell, STANDBY_PACE)
         self._sender_by_address: dict[tuple[str, int], OrderSender] = {}
         self._domain_by_instance: dict[str, str] = {}
 
@@ -102,6 +110,11 @@
         self._writer.start()
         self._writer.tell(RegisterInstance())
         self._follower.start()
+        self._leader_follower.start()
+
+    def store_lost(self) -> None:
+        """Ask the store anew, because another call to it has found it gone."""
+        self._follower.interrupt()
 
     @every(TICK_S)
     def _tick(self) -> None:
@@ -124,15 +137,17 @@
     @handles(TableRead)
     def _table_read(self, message: TableRead) -> None:
         self._take_rows(message.state.rows)
-        if not any(row.key == LEADER_KEY for row in message.state.rows):
+        if message.table == LEADER_TABLE:
             self._keeper.leadership.absent(self._clock.now())
+            return
         self._keeper.table_read()
         self._publish()
 
     @handles(TableChanged)
     def _table_changed(self, message: TableChanged) -> None:
         self._take_rows(message.changes.rows)
-        self._publish()
+        if message.table == TABLE:
+            self._publish()
 
     @handles(GrantEnded)
     def _grant_ended(self, message: GrantEnded) -> None:
@@ -195,6 +210,13 @@
         counts = Counter(self._domain_by_instance.values())
         if counts != self.instances.value.count_by_domain:
             self.instances.publish(InstanceCounts(counts))
+            self._leader_follower.set_pace(self._pace())
+
+    def _pace(self) -> FollowPace:
+        """Return how closely this instance follows the leader: few stand by to take over."""
+        names = sorted(self._domain_by_instance, key=lambda name: crc32(name.encode()))
+        is_standby = self._name in names[:STANDBYS] or self._name not in names
+        return STANDBY_PACE if is_standby else BYSTANDER_PACE
 
     def _hand_out(self, order: Order) -> None:
         if isinstance(order, Grant | Release):
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -58,6 +58,7 @@
         self._asked_at = float("-inf")
         self._is_writing = False
         self._write_again_at = float("-inf")
+        self._has_leader_ended = False
         self._has_resigned = False
         self._others_silent_at = float("-inf")
         self._predecessor = LeaderRecord()
@@ -86,6 +87,7 @@
         if self._seen_at is not None and record.version <= self._record.version:
             return
         self._record = record
+        self._has_leader_ended = False
         self._seen_at = now
         self._jitter_s = self._rng.random() * TAKEOVER_JITTER_S
 
@@ -96,6 +98,9 @@
 
     def ended(self, now: float, instance: str, boot: str) -> None:
         """Take in that ``instance`` now runs as ``boot``: its earlier process has ended."""
+        leader = self._record
+        if instance == leader.instance and boot != leader.boot:
+            self._has_leader_ended = True
         before = self._predecessor
         if self._is_predecessor_pending and instance == before.instance and boot != before.boot:
             self._others_silent_at = min(self._others_silent_at, now)
@@ -109,7 +114,7 @@
             return False
         if self.is_leader:
             return now >= self._asked_at + RENEWAL_PERIOD_S
-        if not self._record.instance or self._is_earlier_self():
+        if not self._record.instance or self._has_leader_ended or self._is_earlier_self():
             return now >= self._seen_at + self._jitter_s
         return now >= self._seen_at + TAKEOVER_AFTER_S + self._jitter_s
 
@@ -144,7 +149,7 @@
 
     def _take_over(self, now: float, before: LeaderRecord) -> None:
         self._predecessor = before
-        if not before.instance or self._is_earlier_self():
+        if not before.instance or self._has_leader_ended or self._is_earlier_self():
             self._others_silent_at = now
             self._is_predecessor_pending = False
         else:
--- a/packages/damasktide/src/damasktide/keyspace/store_writer.py
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -16,6 +16,7 @@
 )
 from damasktide.keyspace.table import (
     LEADER_KEY,
+    LEADER_TABLE,
     TABLE,
     InstanceRecord,
     instance_key,
@@ -65,10 +66,10 @@
         key_map = write.key_map
         key = map_key(key_map.service)
         expected = (
-            ExpectedRow(key, key_map.version),
-            ExpectedRow(LEADER_KEY, write.leader_version),
+            ExpectedRow(TABLE, key, key_map.version),
+            ExpectedRow(LEADER_TABLE, LEADER_KEY, write.leader_version),
         )
-        result, version = self._write(RowWrite(key, encode_map(key_map)), expected)
+        result, version = self._write(RowWrite(TABLE, key, encode_map(key_map)), expected)
         self._notify(MapWritten(write, result, version))
 
     @handles(WriteLeader)
@@ -77,20 +78,20 @@
         record = LeaderRecord()
         if not write.resigns:
             record = LeaderRecord(self._instance.name, self._instance.boot)
-        row = RowWrite(LEADER_KEY, encode_leader(record))
-        result, version = self._write(row, (ExpectedRow(LEADER_KEY, write.version),))
+        row = RowWrite(LEADER_TABLE, LEADER_KEY, encode_leader(record))
+        result, version = self._write(row, (ExpectedRow(LEADER_TABLE, LEADER_KEY, write.version),))
         self._notify(LeaderWritten(write, result, asked_at, version))
 
     @handles(RegisterInstance)
     def _register(self, message: RegisterInstance) -> None:
         value = None if message.is_leaving else encode_instance(self._instance)
-        result, _ = self._write(RowWrite(instance_key(self._instance.name), value), ())
+        result, _ = self._write(RowWrite(TABLE, instance_key(self._instance.name), value), ())
         if result is not WriteResult.WRITTEN and not message.is_leaving:
             self.tell_later(message, REGISTER_RETRY_S)
 
     def _write(self, row: RowWrite, expected: tuple[ExpectedRow, ...]) -> tuple[WriteResult, int]:
         try:
-            return WriteResult.WRITTEN, self._store.write(TABLE, (row,), expected)
+            return WriteResult.WRITTEN, self._store.write((row,), expected)
         except ConditionFailedError:
             logger.bind(row=row.key).info("another instance has written first")
             return WriteResult.CONFLICT, 0
--- a/packages/damasktide/src/damasktide/keyspace/table.py
+++ b/packages/damasktide/src/damasktide/keyspace/table.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 TABLE = "damasktide"
+# Apart, because its row changes all the time and few instances follow it closely.
+LEADER_TABLE = "damasktide-leader"
 LEADER_KEY = "leader"
 MAP_PREFIX = "map/"
 INSTANCE_PREFIX = "instance/"
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -86,6 +86,10 @@
         """Follow the table."""
         self._follower.start()
 
+    def store_lost(self) -> None:
+        """Ask the store anew, because another call to it has found it gone."""
+        self._follower.interrupt()
+
     @handles(TableRead)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -39,6 +39,8 @@
     wait_s: float
 
 
+# While the store is lost, a call that waits may hang in a connection that went silent.
+LOST_WAIT_S = 0.5
 # Check-ins of targets change their table many times a second.
 BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=1.0)
 # Changes of operators and of the key maps are rare, and are to be seen at once.
@@ -119,6 +121,11 @@
         self._due_at = 0.0
         self._random = Random()
 
+    def interrupt(self) -> None:
+        """End a call that waits, because another one has found the store gone."""
+        if not self._is_lost:
+            self._store.interrupt()
+
     def set_pace(self, pace: FollowPace) -> None:
         """Ask more or less often from the next call on."""
         self._pace = pace
@@ -152,10 +159,13 @@
             state = self._store.read_table(self._table)
             self._version = state.version
             return TableRead(self._table, state, asked_at)
-        changes = self._store.wait_for_changes(self._table, self._version, self._pace.wait_s)
+        changes = self._store.wait_for_changes(self._table, self._version, self._wait_s())
         self._version = max(self._version, changes.version)
         return TableChanged(self._table, changes, asked_at)
 
+    def _wait_s(self) -> float:
+        return min(LOST_WAIT_S, self._pace.wait_s) if self._is_lost else self._pace.wait_s
+
     def _lose(self, detail: str) -> None:
         if not self._is_lost:
             self._is_lost = True
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -33,12 +33,15 @@
 
     Attributes
     ----------
+    table
+        Table.
     key
         Key within its table.
     value
         Bytes, or None to drop the row.
     """
 
+    table: str
     key: str
     value: bytes | None
 
@@ -47,6 +50,7 @@
 class ExpectedRow:
     """A condition of a write: the row has this version; 0 means that it does not exist."""
 
+    table: str
     key: str
     version: int
 
@@ -114,9 +118,10 @@
             If the store has dropped that part of its history.
         """
 
-    def write(
-        self, table: str, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()
-    ) -> int:
+    def interrupt(self) -> None:
+        """End a call that waits for changes, from another greenlet; it then raises."""
+
+    def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         """Write rows together if all of ``expected`` holds; return the version of the write.
 
         Raises
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -50,6 +50,9 @@
         Reads an entry; raises :class:`MalformedEntryError` if it names no target to use.
     on_change
         Called with each new view.
+    on_store_lost
+        Called when the store does not answer; this table is the one that changes all the time,
+        so its follower notices first.
     on_failure
         See :class:`damasktide.runtime.task.Task`.
     """
@@ -60,6 +63,7 @@
         table: str,
         decode: TargetDecoder,
         on_change: Callable[[TargetView], None],
+        on_store_lost: Callable[[], None],
         on_failure: Callable[[TaskFailed], None] | None = None,
     ) -> None:
         super().__init__("targets", on_failure)
@@ -67,6 +71,7 @@
         self.has_read = False
         self._decode = decode
         self._on_change = on_change
+        self._on_store_lost = on_store_lost
         self._directory = TargetDirectory()
         self._follower = TableFollower(store, table, self.tell, BUSY_TABLE, self.tell)
 
@@ -98,6 +103,7 @@
     def _store_lost(self, message: StoreLost) -> None:
         # Entries may lapse while the store is away.
         self._directory.store_lost()
+        self._on_store_lost()
 
     @handles(StoreRegained)
     def _store_regained(self, message: StoreRegained) -> None:
