--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -188,7 +188,7 @@
         self._call = call
         try:
             body = request.body
-            call.send(max(0.001, request.until - monotonic()), body.data, body.rest)
+            call.send(request.until, body.data, body.rest)
             self._tried_ids.append(chosen.entry.target_id)
             answer = self._await_answer(call, chosen)
         except CallError as error:
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -11,7 +11,9 @@
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.targets.target import TargetEntry
 
-CONNECT_TIMEOUT_S = 0.6
+# A connection takes one round trip, at most 60 ms between regions; a lost opening packet is only
+# sent again after a second, so another try is sooner.
+CONNECT_TIMEOUT_S = 0.25
 # Responses up to this size are held until they are whole, so that one that breaks off can be
 # replaced by another try instead of being cut at the caller.
 BUFFERED_RESPONSE_BYTES = 256 * 1024
@@ -73,6 +75,7 @@
         self._response_head: ResponseHead | None = None
         self._response_facts: ResponseFacts | None = None
         self._is_aborted = False
+        self._connect_timeout_s = CONNECT_TIMEOUT_S
         self.started_at = monotonic()
 
     @property
@@ -80,13 +83,13 @@
         """The target."""
         return self._entry
 
-    def send(self, left_s: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
+    def send(self, until: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
         """Write the request.
 
         Parameters
         ----------
-        left_s
-            Time that the target is given.
+        until
+            Monotonic time in seconds at which the target is to stop.
         body
             Body, or its beginning if there is a ``rest``.
         rest
@@ -97,6 +100,8 @@
         CallError
             If it cannot be written; the failure says whether any of it was.
         """
+        left_s = max(0.001, until - monotonic())
+        self._connect_timeout_s = min(CONNECT_TIMEOUT_S, left_s)
         fields = list(self._dialect.call_fields(self._head, self._entry.target_id, left_s))
         if rest is not None:
             fields.append((b"Transfer-Encoding", b"chunked"))
@@ -170,7 +175,7 @@
             self._connection = None
 
     def _send_first(self, data: bytes) -> None:
-        self._connection = self._pool.take(self._entry.address, CONNECT_TIMEOUT_S)
+        self._connection = self._pool.take(self._entry.address, self._connect_timeout_s)
         try:
             self._open_connection().send(data)
         except CallError as error:
@@ -178,7 +183,7 @@
                 raise
             # The pooled connection was closed by the target before it took a byte.
             self.close()
-            self._connection = self._pool.open(self._entry.address, CONNECT_TIMEOUT_S)
+            self._connection = self._pool.open(self._entry.address, self._connect_timeout_s)
             self._connection.send(data)
 
     def _send_rest(self, body: bytes, rest: Iterator[bytes]) -> None:
--- a/packages/damasktide/src/damasktide/http1/listener.py
+++ b/packages/damasktide/src/damasktide/http1/listener.py
@@ -66,6 +66,9 @@
             self._serve(connection)
         except OSError as error:
             logger.bind(caller=address[0]).debug("caller's connection failed: {}", error)
+        except Exception:
+            # A fault in one request must not go unseen, nor end the other connections.
+            logger.bind(caller=address[0]).exception("caller's connection ended by a fault")
         finally:
             self._connections.discard(connection)
             connection.close()
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -1,6 +1,5 @@
 """A connection to a server that carries one call at a time."""
 
-import select
 import struct
 from collections import deque
 from collections.abc import Iterator
@@ -180,8 +179,15 @@
         """Return whether an idle connection was closed or carries bytes nobody asked for."""
         if self._socket is None:
             return True
-        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
-        return bool(readable)
+        try:
+            # The plain socket below gevent's does not block. A look at it costs one call and
+            # has no bound on descriptors, unlike select with its 1,024.
+            self._socket._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self.is_broken = True
+        return True
 
     def has_early_response(self) -> bool:
         """Return whether the server answers while the request is still being written."""
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -19,7 +19,7 @@
 
 # First and longest pause after a failed call; each failure doubles it.
 RETRY_FIRST_S = 0.2
-RETRY_LONGEST_S = 1.0
+RETRY_LONGEST_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,7 @@
 
 
 # While the store is lost, a call that waits may hang in a connection that went silent.
-LOST_WAIT_S = 0.5
+LOST_WAIT_S = 0.3
 # Check-ins of targets change their table many times a second.
 BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=1.0)
 # Changes of operators and of the key maps are rare, and are to be seen at once.
