--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_one_owner.py
@@ -0,0 +1,182 @@
+"""Faults of targets, instances and the store, by seed: no two live targets hold one key."""
+
+import unittest
+from collections.abc import Callable
+from random import Random
+from unittest.mock import patch
+
+from damasktide.keyspace.silence import SilenceRecord
+from damasktide.keyspace.tests.world import Instance, Target, World
+from damasktide.runtime.registry import Registry
+
+SEEDS = range(60)
+DAY_S = 40.0
+CALM_S = 25.0
+# After all faults have ended every key is held again.
+FULLY_SERVED = 0.999
+
+faults: Registry[str, Callable[[World], None]] = Registry("fault")
+
+
+def new_world(seed: int, instances: int = 3, targets: int = 5) -> World:
+    world = World(Random(seed))
+    for number in range(targets):
+        world.targets[f"t{number}"] = Target(world, f"t{number}")
+    for number in range(instances):
+        world.instances[f"i{number}"] = Instance(world, f"i{number}")
+    world.run(4.0)
+    return world
+
+
+def any_target(world: World) -> Target:
+    return world.rng.choice(list(world.targets.values()))
+
+
+def leader(world: World) -> Instance:
+    leaders = [item for item in world.instances.values() if item.keeper.leadership.is_leader]
+    return world.rng.choice(leaders or list(world.instances.values()))
+
+
+@faults.register("crash")
+def crash(world: World) -> None:
+    target = any_target(world)
+    target.crash()
+    world.later(world.rng.uniform(0.1, 6.0), target.restart)
+
+
+@faults.register("dark")
+def dark(world: World) -> None:
+    target = any_target(world)
+    target.is_dark = True
+    world.later(world.rng.uniform(1.0, 8.0), lambda: setattr(target, "is_dark", False))
+
+
+@faults.register("cut_target")
+def cut_target(world: World) -> None:
+    target = any_target(world)
+    target.is_cut_from_store = True
+    world.later(world.rng.uniform(1.0, 10.0), lambda: setattr(target, "is_cut_from_store", False))
+
+
+@faults.register("drain")
+def drain(world: World) -> None:
+    target = any_target(world)
+    target.is_draining = True
+
+    def come_back() -> None:
+        target.crash()
+        target.is_draining = False
+        target.restart()
+
+    world.later(3.0, come_back)
+
+
+@faults.register("kill_leader")
+def kill_leader(world: World) -> None:
+    instance = leader(world)
+    instance.is_up = False
+    world.later(world.rng.uniform(0.5, 5.0), instance.start)
+
+
+@faults.register("freeze_leader")
+def freeze_leader(world: World) -> None:
+    leader(world).frozen_until = world.now + world.rng.uniform(0.5, 20.0)
+
+
+@faults.register("cut_leader")
+def cut_leader(world: World) -> None:
+    instance = leader(world)
+    instance.is_cut_from_store = True
+    world.later(
+        world.rng.uniform(1.0, 20.0), lambda: setattr(instance, "is_cut_from_store", False)
+    )
+
+
+@faults.register("store_down")
+def store_down(world: World) -> None:
+    world.store.is_up = False
+    world.later(world.rng.uniform(1.0, 9.0), lambda: setattr(world.store, "is_up", True))
+
+
+@faults.register("leader_loses_target")
+def leader_loses_target(world: World) -> None:
+    instance, target = leader(world), any_target(world)
+    instance.unreachable.add(target.name)
+    world.later(world.rng.uniform(1.0, 8.0), lambda: instance.unreachable.discard(target.name))
+
+
+@faults.register("late")
+def late(world: World) -> None:
+    world.late_share = 0.3
+    world.later(world.rng.uniform(1.0, 6.0), lambda: setattr(world, "late_share", 0.0))
+
+
+def play(seed: int) -> World:
+    world = new_world(seed)
+    names = list(faults)
+    while world.now < DAY_S:
+        faults.get(world.rng.choice(names))(world)
+        world.run(world.rng.uniform(0.2, 4.0))
+    world.run(CALM_S)
+    return world
+
+
+class TestOneOwner(unittest.TestCase):
+    def test_calm_start_serves_every_key(self) -> None:
+        world = new_world(1)
+        self.assertGreaterEqual(world.served_share(), FULLY_SERVED)
+        self.assertEqual(world.violations, [])
+
+    def test_seeded_faults(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = play(seed)
+                self.assertEqual(world.violations[:3], [])
+                self.assertGreaterEqual(world.served_share(), FULLY_SERVED)
+
+    def test_lost_target_is_replaced_within_two_seconds(self) -> None:
+        world = new_world(2)
+        any_target(world).crash()
+        world.run(2.0)
+        self.assertGreaterEqual(world.served_share(), FULLY_SERVED)
+
+    def test_renewals_outlive_an_outage_of_the_store(self) -> None:
+        world = new_world(3)
+        world.store.is_up = False
+        world.run(12.0)
+        self.assertGreaterEqual(world.served_share(), FULLY_SERVED)
+
+    def test_killed_leader_is_replaced_before_holds_end(self) -> None:
+        world = new_world(4)
+        leader(world).is_up = False
+        world.run(3.5)
+        self.assertGreaterEqual(world.served_share(), FULLY_SERVED)
+
+
+class TestMutations(unittest.TestCase):
+    """Each mechanism is needed: without it some seed shows two holders."""
+
+    def assert_violated(self, seeds: range) -> None:
+        self.assertTrue(any(play(seed).violations for seed in seeds))
+
+    def test_without_waiting_for_silence(self) -> None:
+        with patch.object(SilenceRecord, "is_silent", lambda *arguments: True):
+            self.assert_violated(range(5))
+
+    def test_without_waiting_for_late_grants(self) -> None:
+        def forget(self: SilenceRecord, *arguments: object) -> bool:
+            self._late_until_by_life.clear()
+            return real(self, *arguments)  # type: ignore[arg-type]
+
+        real = SilenceRecord.is_silent
+        with patch.object(SilenceRecord, "is_silent", forget):
+            self.assert_violated(SEEDS)
+
+    def test_without_waiting_for_earlier_leaders(self) -> None:
+        real = SilenceRecord.is_silent
+        with patch.object(
+            SilenceRecord,
+            "is_silent",
+            lambda self, now, item, life, others: real(self, now, item, life, float("-inf")),
+        ):
+            self.assert_violated(SEEDS)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/tests/world.py
@@ -0,0 +1,393 @@
+"""A world without network for the keeper: instances, targets and a store with faults.
+
+Targets fence by key range with integers, count a hold from the arrival of the call, and may carry
+a call out late without answering it. Time is stepped; nothing sleeps.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from damasktide.keyspace.keeper import Keeper
+from damasktide.keyspace.key_map import KeyMap, Life
+from damasktide.keyspace.leadership import LeaderRecord, Leadership
+from damasktide.keyspace.messages import (
+    Grant,
+    GrantEnded,
+    LeaderWritten,
+    MapWritten,
+    Order,
+    OrderResult,
+    Release,
+    ReleaseEnded,
+    WriteLeader,
+    WriteMap,
+    WriteResult,
+)
+from damasktide.targets.target import TargetEntry, TargetState, TargetView
+
+SERVICE = "ledger"
+STEP_S = 0.05
+POLL_S = 0.3
+GRANT_TIMEOUT_S = 0.8
+SLOW_CLOCK = 1.02
+CHECK_IN_LAPSE_S = 2.6
+
+
+@dataclass(slots=True)
+class Hold:
+    """Keys that a target serves."""
+
+    first: int
+    last: int
+    fence: int
+    until: float
+
+
+@dataclass(slots=True)
+class World:
+    """All parts, and the violations that were seen.
+
+    Parameters
+    ----------
+    rng
+        Source of all chances.
+    """
+
+    rng: Random
+    now: float = 0.0
+    targets: dict[str, "Target"] = field(default_factory=dict)
+    instances: dict[str, "Instance"] = field(default_factory=dict)
+    store: "Store" = field(default_factory=lambda: Store())
+    violations: list[str] = field(default_factory=list)
+    late_share: float = 0.0
+    _queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    _order: "count[int]" = field(default_factory=count)
+
+    def later(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run ``action`` after ``delay_s`` seconds."""
+        heappush(self._queue, (self.now + delay_s, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            step_end = self.now + STEP_S
+            while self._queue and self._queue[0][0] <= step_end:
+                at, _, action = heappop(self._queue)
+                self.now = max(self.now, at)
+                action()
+            self.now = step_end
+            for instance in self.instances.values():
+                instance.step()
+            self._check()
+
+    def served_share(self) -> float:
+        """Return the part of the keys that a live target holds."""
+        held = sum(
+            hold.last - hold.first + 1
+            for target in self.targets.values()
+            for hold in target.live_holds()
+        )
+        return held / 65_536
+
+    def _check(self) -> None:
+        holds = [
+            (target, hold) for target in self.targets.values() for hold in target.live_holds()
+        ]
+        for index, (target, hold) in enumerate(holds):
+            for other, other_hold in holds[index + 1 :]:
+                overlaps = hold.first <= other_hold.last and other_hold.first <= hold.last
+                if other is not target and overlaps:
+                    self.violations.append(
+                        f"{self.now:.2f} s: {target.name} and {other.name} hold "
+                        f"{max(hold.first, other_hold.first)}"
+                    )
+
+
+@dataclass(slots=True)
+class Store:
+    """Rows with one counter, as the platform keeps them."""
+
+    row_by_key: dict[str, tuple[object, int]] = field(default_factory=dict)
+    version: int = 0
+    is_up: bool = True
+
+    def write(self, key: str, value: object, expected: dict[str, int]) -> int | None:
+        """Write if all expected versions hold; return the new version."""
+        for name, version in expected.items():
+            if self.row_by_key.get(name, (None, 0))[1] != version:
+                return None
+        self.version += 1
+        self.row_by_key[key] = (value, self.version)
+        return self.version
+
+
+class Target:
+    """A target that holds keys."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.started_at_ms = 1
+        self.is_up = True
+        self.is_dark = False
+        self.is_cut_from_store = False
+        self.is_draining = False
+        self.checked_in_at = 0.0
+        self.holds: list[Hold] = []
+        self.seen: list[tuple[int, int, int]] = []
+
+    @property
+    def life(self) -> Life:
+        return (self.name, self.started_at_ms)
+
+    def entry(self) -> TargetEntry:
+        state = TargetState.DRAINING if self.is_draining else TargetState.READY
+        return TargetEntry(self.name, self.started_at_ms, SERVICE, "a1", (self.name, 80), 6, state)
+
+    def live_holds(self) -> list[Hold]:
+        if not self.is_up:
+            return []
+        return [hold for hold in self.holds if hold.until > self.world.now]
+
+    def crash(self) -> None:
+        self.is_up = False
+        self.holds.clear()
+        self.seen.clear()
+
+    def restart(self) -> None:
+        self.is_up = True
+        self.started_at_ms += 1
+
+    def grant(self, grant: Grant, arrived_at: float) -> OrderResult:
+        for first, last, fence in self.seen:
+            if first <= grant.last and grant.first <= last and fence > grant.fence:
+                return OrderResult.FENCED
+        self.seen.append((grant.first, grant.last, grant.fence))
+        self._take_out(grant.first, grant.last)
+        until = arrived_at + grant.hold_s * SLOW_CLOCK
+        self.holds.append(Hold(grant.first, grant.last, grant.fence, until))
+        return OrderResult.ACCEPTED
+
+    def release(self, release: Release) -> str:
+        # The fence of a release is not remembered: the weaker of the two readings of the page.
+        self._take_out(release.first, release.last)
+        return f"handover-{release.first}"
+
+    def _take_out(self, first: int, last: int) -> None:
+        kept = []
+        for hold in self.holds:
+            if hold.last < first or hold.first > last:
+                kept.append(hold)
+                continue
+            if hold.first < first:
+                kept.append(replace(hold, last=first - 1))
+            if hold.last > last:
+                kept.append(replace(hold, first=last + 1))
+        self.holds = kept
+
+
+class Instance:
+    """An instance that runs the keeper."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.boots = 0
+        self.is_up = True
+        self.is_cut_from_store = False
+        self.frozen_until = 0.0
+        self.unreachable: set[str] = set()
+        self.start()
+
+    def start(self) -> None:
+        self.boots += 1
+        self.is_up = True
+        boot = f"{self.name}-{self.boots}"
+        self.boot = boot
+        self.keeper = Keeper(Leadership(self.name, boot, self.world.rng))
+        self.keeper.set_services(frozenset({SERVICE}))
+        self.polled_at = float("-inf")
+        self.is_registered = False
+
+    @property
+    def is_running(self) -> bool:
+        return self.is_up and self.world.now >= self.frozen_until
+
+    @property
+    def reaches_store(self) -> bool:
+        return self.world.store.is_up and not self.is_cut_from_store
+
+    def step(self) -> None:
+        if not self.is_running:
+            return
+        if self.reaches_store and self.world.now >= self.polled_at + POLL_S:
+            self.polled_at = self.world.now
+            self._read_store()
+        for order in self.keeper.orders(self.world.now):
+            self._carry_out(order)
+
+    def _read_store(self) -> None:
+        store, now = self.world.store, self.world.now
+        if not self.is_registered:
+            store.write(f"instance/{self.name}", self.boot, {})
+            self.is_registered = True
+        for key, (value, version) in store.row_by_key.items():
+            if key.startswith("instance/"):
+                self.keeper.leadership.ended(now, key.removeprefix("instance/"), str(value))
+            elif isinstance(value, LeaderRecord):
+                self.keeper.leader_seen(now, replace(value, version=version))
+            elif isinstance(value, KeyMap):
+                self.keeper.map_seen(replace(value, version=version))
+        self.keeper.leadership.absent(now)
+        self.keeper.table_read()
+        self.keeper.set_targets(self._view())
+
+    def _view(self) -> TargetView:
+        now = self.world.now
+        for target in self.world.targets.values():
+            if target.is_up and not target.is_cut_from_store:
+                target.checked_in_at = now
+        listed = [
+            target.entry()
+            for target in self.world.targets.values()
+            if now - target.checked_in_at < CHECK_IN_LAPSE_S
+        ]
+        usable = tuple(entry for entry in listed if entry.state is TargetState.READY)
+        return TargetView({entry.target_id: entry for entry in listed}, {SERVICE: usable})
+
+    def _carry_out(self, order: Order) -> None:
+        if isinstance(order, Grant):
+            self._send_grant(order)
+        elif isinstance(order, Release):
+            self._send_release(order)
+        elif isinstance(order, WriteMap):
+            self._write_map(order)
+        elif isinstance(order, WriteLeader):
+            self._write_leader(order)
+
+    def _answer(self, delay_s: float, action: Callable[[Keeper], None]) -> None:
+        keeper = self.keeper
+
+        def deliver() -> None:
+            if self.keeper is keeper and self.is_up:
+                if self.world.now < self.frozen_until:
+                    self.world.later(self.frozen_until - self.world.now, deliver)
+                else:
+                    action(keeper)
+
+        self.world.later(delay_s, deliver)
+
+    def _send_grant(self, grant: Grant) -> None:
+        world = self.world
+        target = world.targets[grant.entry.target_id]
+        delay_s = world.rng.uniform(0.001, 0.06)
+        if target.is_dark or target.name in self.unreachable:
+            self._end_grant(grant, OrderResult.FAILED, GRANT_TIMEOUT_S)
+        elif not target.is_up:
+            self._end_grant(grant, OrderResult.REFUSED_CONNECTION, delay_s)
+        elif world.rng.random() < world.late_share:
+            arrived_at, life = world.now + delay_s, target.life
+            world.later(
+                world.rng.uniform(2.0, 12.0), lambda: self._late(target, life, grant, arrived_at)
+            )
+            self._end_grant(grant, OrderResult.FAILED, GRANT_TIMEOUT_S)
+        else:
+            arrived_at = world.now + delay_s
+            life = target.life
+
+            def arrive() -> None:
+                if target.is_up and target.life == life:
+                    self._end_grant(grant, target.grant(grant, arrived_at), delay_s)
+                else:
+                    self._end_grant(grant, OrderResult.FAILED, delay_s)
+
+            world.later(delay_s, arrive)
+
+    @staticmethod
+    def _late(target: Target, life: Life, grant: Grant, arrived_at: float) -> None:
+        if target.is_up and target.life == life:
+            target.grant(grant, arrived_at)
+
+    def _end_grant(self, grant: Grant, result: OrderResult, delay_s: float) -> None:
+        ended_at = self.world.now + delay_s
+        self._answer(
+            delay_s,
+            lambda keeper: keeper.grant_ended(self.world.now, GrantEnded(grant, result, ended_at)),
+        )
+
+    def _send_release(self, release: Release) -> None:
+        world = self.world
+        target = world.targets[release.entry.target_id]
+        if target.is_dark or target.name in self.unreachable:
+            self._end_release(release, OrderResult.FAILED, 1.0)
+        elif not target.is_up:
+            self._end_release(release, OrderResult.REFUSED_CONNECTION, 0.01)
+        else:
+            work_s = world.rng.uniform(0.0, 0.4)
+
+            def arrive() -> None:
+                if not target.is_up:
+                    self._end_release(release, OrderResult.FAILED, 0.01)
+                    return
+                handover = target.release(release)
+                self._end_release(release, OrderResult.ACCEPTED, work_s, handover)
+
+            world.later(world.rng.uniform(0.001, 0.06), arrive)
+
+    def _end_release(
+        self, release: Release, result: OrderResult, delay_s: float, handover: str | None = None
+    ) -> None:
+        ended = ReleaseEnded(release, result, handover)
+        self._answer(delay_s, lambda keeper: keeper.release_ended(self.world.now, ended))
+
+    def _write_map(self, write: WriteMap) -> None:
+        key = f"map/{write.key_map.service}"
+        expected = {key: write.key_map.version, "leader": write.leader_version}
+        self._write(
+            key,
+            write.key_map,
+            expected,
+            lambda keeper, result, version: keeper.map_written(MapWritten(write, result, version)),
+        )
+
+    def _write_leader(self, write: WriteLeader) -> None:
+        asked_at = self.world.now
+        self._write(
+            "leader",
+            LeaderRecord(self.name, self.boot),
+            {"leader": write.version},
+            lambda keeper, result, version: keeper.leader_written(
+                self.world.now, LeaderWritten(write, result, asked_at, version)
+            ),
+        )
+
+    def _write(
+        self,
+        key: str,
+        value: object,
+        expected: dict[str, int],
+        take: Callable[[Keeper, WriteResult, int], None],
+    ) -> None:
+        world = self.world
+        if not self.reaches_store:
+            self._answer(1.0, lambda keeper: take(keeper, WriteResult.UNKNOWN, 0))
+            return
+        if world.rng.random() < world.late_share:
+            # Done some seconds later, without an answer, if the condition still holds.
+            world.later(
+                world.rng.uniform(0.0, 6.0),
+                lambda: world.store.write(key, value, expected) and None,
+            )
+            self._answer(1.5, lambda keeper: take(keeper, WriteResult.UNKNOWN, 0))
+            return
+
+        def arrive() -> None:
+            version = world.store.write(key, value, expected)
+            result = WriteResult.CONFLICT if version is None else WriteResult.WRITTEN
+            self._answer(0.01, lambda keeper: take(keeper, result, version or 0))
+
+        world.later(world.rng.uniform(0.004, 0.1), arrive)
