Count a release only for its own transfer; send no grant to an ended process

Cause: the model shows two holders of a key: a release was remembered by target and keys alone, so an old one was taken for the answer to a later transfer of the same keys. An ended process was still sent renewals, which the next process at its address would accept. Ruled out: the wait for silence, which held. Change: releases are remembered with the fencing token of their transfer; dead lives get no grants; pieces below 512 keys are not cut off, because each range costs a call at every renewal.

--- a/packages/damasktide/src/damasktide/keyspace/keeper.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper.py
@@ -62,7 +62,7 @@
         self._open_life_by_grant: dict[_RangeKey, Life] = {}
         self._accepted: set[_RangeKey] = set()
         self._fenced: set[_RangeKey] = set()
-        self._release_due: dict[tuple[Life, int, int], float] = {}
+        self._release_due: dict[tuple[Life, int, int, int], float] = {}
         self._writing: set[str] = set()
         self._has_read = False
 
@@ -146,7 +146,7 @@
     def release_ended(self, now: float, ended: ReleaseEnded) -> None:
         """Take in the end of a release."""
         release = ended.release
-        key = (release.holder, release.first, release.last)
+        key = (release.holder, release.first, release.last, release.fence)
         if ended.result is OrderResult.ACCEPTED:
             self._silence.released(*key, ended.handover)
         elif ended.result.shows_end:
@@ -194,6 +194,9 @@
                 continue
             if key in self._fenced or not self._is_free(now, item):
                 continue
+            if self._silence.is_dead(item.holder):
+                # Another process may listen there by now, and must not get an old grant.
+                continue
             self._sent_at_by_range[key] = now
             self._open_life_by_grant[key] = item.holder
             self._silence.grant_sent(item.holder)
@@ -221,7 +224,7 @@
             if item.is_granted:
                 continue
             for life in item.previous:
-                key = (life, item.first, item.last)
+                key = (life, item.first, item.last, item.fence)
                 entry = self._view.entry_by_id.get(life[0]) or self._entry_by_life.get(life)
                 if entry is None or self._silence.is_released(life, item):
                     continue
--- a/packages/damasktide/src/damasktide/keyspace/planner.py
+++ b/packages/damasktide/src/damasktide/keyspace/planner.py
@@ -7,6 +7,8 @@
 
 # A target with less than this part of its fair share gets keys of the fullest ones.
 LEAST_FAIR_PART = 0.8
+# Smaller pieces are not cut off, because each range costs a call at every renewal.
+LEAST_PIECE_KEYS = 512
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +126,7 @@
         if surplus <= 0:
             break
         item = max((r for r in kept if r.holder == fullest), key=lambda r: r.size)
-        amount = min(surplus, missing, item.size)
+        amount = min(max(LEAST_PIECE_KEYS, min(surplus, missing)), item.size)
         kept.remove(item)
         if amount < item.size:
             kept.append(item.part(item.first, item.last - amount))
@@ -142,8 +144,10 @@
         rest: _Piece | None = piece
         while rest is not None:
             life = max(fair_by_life, key=lambda item: fair_by_life[item] - size_by_life[item])
-            room = max(1, round(fair_by_life[life] - size_by_life[life]))
-            given = replace(rest, last=min(rest.last, rest.first + room - 1))
+            room = max(LEAST_PIECE_KEYS, round(fair_by_life[life] - size_by_life[life]))
+            if rest.size - room < LEAST_PIECE_KEYS:
+                room = rest.size
+            given = replace(rest, last=rest.first + room - 1)
             size_by_life[life] += given.size
             yield given, life
             rest = replace(rest, first=given.last + 1) if given.last < rest.last else None
--- a/packages/damasktide/src/damasktide/keyspace/silence.py
+++ b/packages/damasktide/src/damasktide/keyspace/silence.py
@@ -10,6 +10,11 @@
 LAST_ARRIVAL_S = 0.15
 
 
+# A holder's life with first key, last key and fencing token of the transfer: a release counts for
+# that transfer only, because the same target may be granted the same keys again later.
+_ReleaseKey = tuple[Life, int, int, int]
+
+
 class SilenceRecord:
     """Remembers until when each life may hold keys by grants that this process has sent.
 
@@ -27,7 +32,7 @@
         self._held_until_by_life: dict[Life, float] = {}
         self._late_until_by_life: dict[Life, float] = {}
         self._dead_lives: set[Life] = set()
-        self._handover_by_release: dict[tuple[Life, int, int], str | None] = {}
+        self._handover_by_release: dict[_ReleaseKey, str | None] = {}
 
     @property
     def longest_hold_s(self) -> float:
@@ -53,13 +58,19 @@
         """Note that the process of this life has ended."""
         self._dead_lives.add(life)
 
-    def released(self, life: Life, first: int, last: int, handover: str | None) -> None:
-        """Note that the target has given keys back."""
-        self._handover_by_release[(life, first, last)] = handover
+    def is_dead(self, life: Life) -> bool:
+        """Return whether the process of this life has ended."""
+        return life in self._dead_lives
+
+    def released(
+        self, life: Life, first: int, last: int, fence: int, handover: str | None
+    ) -> None:
+        """Note that the target has given keys back for the transfer with ``fence``."""
+        self._handover_by_release[(life, first, last, fence)] = handover
 
     def is_released(self, life: Life, item: KeyRange) -> bool:
-        """Return whether ``life`` has given back exactly the keys of ``item``."""
-        return (life, item.first, item.last) in self._handover_by_release
+        """Return whether ``life`` has given back exactly the keys of ``item`` for its transfer."""
+        return _key(life, item) in self._handover_by_release
 
     def is_silent(self, now: float, item: KeyRange, life: Life, others_silent_at: float) -> bool:
         """Return whether ``life`` certainly holds no key of ``item`` any more.
@@ -88,9 +99,13 @@
         """Return what the last holder of exactly these keys gave back, or None."""
         if not item.previous:
             return None
-        return self._handover_by_release.get((item.previous[-1], item.first, item.last))
+        return self._handover_by_release.get(_key(item.previous[-1], item))
 
     def forget(self, item: KeyRange) -> None:
         """Drop what was noted of the previous holders of a range that has been granted."""
         for life in item.previous:
-            self._handover_by_release.pop((life, item.first, item.last), None)
+            self._handover_by_release.pop(_key(life, item), None)
+
+
+def _key(life: Life, item: KeyRange) -> _ReleaseKey:
+    return life, item.first, item.last, item.fence
