Put a barrier before each release; one previous holder per range; read maps after a takeover

Causes found by the model, one each: a grant that is carried out late, or comes from a leader that is cut off, gives released keys back; with two previous holders the second was given a barrier while the first still held; a new leader acted on a map that its predecessor had just replaced; a barrier that is carried out late undoes the release after it; a barrier to a new life was forgotten when the old life's hold ran out. Ruled out: the bound on a hold. Change: the previous holder first gets a grant with a token between the old and the new one, which fences off every older grant; a range has at most one previous holder, and is settled in the map before the next one is granted; a failed barrier, and a takeover, give the transfer a higher token; after a lost call a target is called again only if the store has listed it since.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -98,7 +98,6 @@
             lifecycle, MonotonicClock(), self._state, (self._phase_changed,)
         )
         fail = self._lifecycle.tell
-        self._keeper = KeeperTask(record, adapter.open_store, adapter.orders, fail)
         self._targets = TargetTask(
             adapter.open_store(),
             adapter.target_table,
@@ -107,6 +106,13 @@
             self._store_lost,
             fail,
         )
+        self._keeper = KeeperTask(
+            record,
+            adapter.open_store,
+            adapter.orders,
+            lambda: self._targets.confirmed_at.value,
+            fail,
+        )
         self._routing = RoutingTask(
             adapter.open_store(),
             adapter.operator_table,
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -194,7 +194,7 @@
         item = key_map.find(key) if key_map is not None else None
         if item is None:
             return not_run(Reason.NO_OWNER, "the key has no owner yet", REFUSAL_RETRY_S)
-        if not item.is_granted:
+        if not item.is_settled:
             return not_run(Reason.NO_OWNER, "the key is changing hands", REFUSAL_RETRY_S)
         return item.holder[0]
 
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -15,7 +15,7 @@
 def encode_map(key_map: KeyMap) -> bytes:
     """Return the row of ``key_map``."""
     ranges = [
-        [item.first, item.last, *item.holder, item.fence, item.is_granted, item.previous]
+        [item.first, item.last, *item.holder, item.fence, *(item.previous or ())]
         for item in key_map.ranges
     ]
     return json.dumps({"last_fence": key_map.last_fence, "ranges": ranges}).encode()
@@ -78,8 +78,19 @@
 
 
 def _decode_range(item: list[Any]) -> KeyRange:
-    first, last, holder, started, fence, is_granted, previous = item
-    lives: tuple[Life, ...] = tuple((str(name), int(start)) for name, start in previous)
+    first, last, holder, started, fence, *previous = item
     return KeyRange(
-        int(first), int(last), (str(holder), int(started)), int(fence), bool(is_granted), lives
+        int(first),
+        int(last),
+        _decode_life(holder, started),
+        int(fence),
+        _decode_previous(previous),
     )
+
+
+def _decode_previous(fields: list[Any]) -> Life | None:
+    return _decode_life(*fields) if fields else None
+
+
+def _decode_life(target_id: str, started_at_ms: int) -> Life:
+    return str(target_id), int(started_at_ms)
--- a/packages/damasktide/src/damasktide/keyspace/keeper.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper.py
@@ -15,13 +15,14 @@
     MapWritten,
     Order,
     OrderResult,
+    ReadMaps,
     Release,
     ReleaseEnded,
     WriteLeader,
     WriteMap,
     WriteResult,
 )
-from damasktide.keyspace.planner import Holder, plan
+from damasktide.keyspace.planner import FENCE_STEP, Holder, plan
 from damasktide.keyspace.silence import SilenceRecord
 from damasktide.targets.target import TargetEntry, TargetView
 
@@ -30,10 +31,13 @@
 HOLD_S = 3.0
 RENEWAL_PERIOD_S = 0.75
 RELEASE_RETRY_S = 0.4
+READ_RETRY_S = 0.5
 # A grant that could not be sent within this time is decided anew.
 SEND_WITHIN_S = 0.3
 
 _RangeKey = tuple[str, int, int, int]
+# Id of a previous holder with first key, last key and the next holder's fencing token.
+_Transfer = tuple[str, int, int, int]
 
 
 class Keeper:
@@ -59,12 +63,16 @@
         self._entry_by_life: dict[Life, TargetEntry] = {}
         self._map_by_service: dict[str, KeyMap] = {}
         self._sent_at_by_range: dict[_RangeKey, float] = {}
-        self._open_life_by_grant: dict[_RangeKey, Life] = {}
-        self._accepted: set[_RangeKey] = set()
+        self._open_grants: set[_RangeKey] = set()
         self._fenced: set[_RangeKey] = set()
-        self._release_due: dict[tuple[Life, int, int, int], float] = {}
+        self._barriers: set[_Transfer] = set()
+        self._transfer_due: dict[_Transfer, float] = {}
+        self._unconfirmed_since: dict[Life, float] = {}
+        self._confirmed_at = float("-inf")
         self._writing: set[str] = set()
-        self._has_read = False
+        self._read_at = float("-inf")
+        self._read_due = float("-inf")
+        self._refenced_at = float("-inf")
 
     @property
     def map_by_service(self) -> Mapping[str, KeyMap]:
@@ -88,27 +96,41 @@
         self._contacts.keep_only(frozenset(view.entry_by_id))
         self._forget_entries()
 
+    def set_confirmed(self, asked_at: float) -> None:
+        """Take in that the store has confirmed the list of targets when asked at ``asked_at``."""
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
     def map_seen(self, key_map: KeyMap) -> None:
         """Take in a map of the store; an older version than a known one is ignored."""
         known = self._map_by_service.get(key_map.service)
         if known is None or key_map.version > known.version:
             self._map_by_service[key_map.service] = key_map
 
-    def table_read(self) -> None:
-        """Take in that all rows have been read once, so a missing map does not exist."""
-        self._has_read = True
+    def table_read(self, asked_at: float) -> None:
+        """Take in that all rows have been read when asked for at ``asked_at``.
+
+        A map that is missing then does not exist.
+        """
+        self._read_at = max(self._read_at, asked_at)
 
     def orders(self, now: float) -> Iterator[Order]:
         """Yield what is to be done now; to be called several times a second."""
-        if self._has_read and self._leadership.wants_write(now):
+        if self._read_at > float("-inf") and self._leadership.wants_write(now):
             self._leadership.write_begins()
             yield WriteLeader(self._leadership.record.version)
         if not self._leadership.may_renew(now):
             return
+        if self._read_at <= self._leadership.took_over_at():
+            # An earlier leader's last write is not known yet, and could grant the same keys.
+            if now >= self._read_due:
+                self._read_due = now + READ_RETRY_S
+                yield ReadMaps()
+            return
+        self._refence_transfers()
         for service in sorted(self._services):
             key_map = self._map_by_service.get(service, KeyMap(service))
             yield from self._grants(now, key_map)
-            yield from self._releases(now, key_map)
+            yield from self._transfers(now, key_map)
             if service not in self._writing:
                 yield from self._changes(now, key_map)
 
@@ -124,34 +146,41 @@
         grant, result = ended.grant, ended.result
         life = grant.entry.life
         key = (grant.entry.service, grant.first, grant.last, grant.fence)
-        self._open_life_by_grant.pop(key, None)
-        is_certain = result is not OrderResult.FAILED
-        self._silence.grant_ended(ended.ended_at, life, is_certain)
+        self._open_grants.discard(key)
+        self._silence.grant_ended(ended.ended_at, life)
+        transfer = (life[0], grant.first, grant.last, grant.fence + 1)
+        self._transfer_due.pop(transfer, None)
         if result is OrderResult.NOT_SENT:
             return
         if result.is_answered:
             self._contacts.answered(life)
         else:
             self._contacts.failed(now, life, result.shows_end)
+            self._unconfirmed_since[life] = now
             logger.bind(
                 target=life[0], first=grant.first, last=grant.last, result=result.value
             ).warning("grant without an answer")
         if result.shows_end:
             self._silence.died(life)
+        if result is OrderResult.FAILED:
+            # A barrier may be carried out late, also after a release: the transfer starts anew
+            # with a higher token. No range has the token above that of a holder's own grant.
+            self._fenced.add((grant.entry.service, *transfer[1:]))
         if result is OrderResult.ACCEPTED:
-            self._accepted.add(key)
+            self._silence.forget(grant.first, grant.last, grant.fence)
+            self._barriers.add(transfer)
         if result is OrderResult.FENCED:
             self._fenced.add(key)
 
     def release_ended(self, now: float, ended: ReleaseEnded) -> None:
         """Take in the end of a release."""
         release = ended.release
-        key = (release.holder, release.first, release.last, release.fence)
+        first, last, fence = release.first, release.last, release.fence
         if ended.result is OrderResult.ACCEPTED:
-            self._silence.released(*key, ended.handover)
+            self._silence.released(release.holder, first, last, fence, ended.handover)
         elif ended.result.shows_end:
             self._silence.died(release.holder)
-        self._release_due[key] = now + RELEASE_RETRY_S
+        self._transfer_due[release.holder[0], first, last, fence] = now + RELEASE_RETRY_S
         logger.bind(
             target=release.holder[0],
             first=release.first,
@@ -184,84 +213,113 @@
         if was_leader and not self._leadership.is_leader:
             logger.bind(leader=record.instance, version=record.version).info("no longer leader")
 
+    def _refence_transfers(self) -> None:
+        """Start transfers of an earlier leader anew; its barriers may still be on their way."""
+        took_over_at = self._leadership.took_over_at()
+        if self._refenced_at == took_over_at:
+            return
+        self._refenced_at = took_over_at
+        for service, key_map in self._map_by_service.items():
+            for item in key_map.ranges:
+                if not item.is_settled:
+                    self._fenced.add((service, item.first, item.last, item.fence))
+
     def _grants(self, now: float, key_map: KeyMap) -> Iterator[Grant]:
         for item in key_map.ranges:
             key = (key_map.service, item.first, item.last, item.fence)
             entry = self._view.entry_by_id.get(item.holder[0])
-            if entry is None or entry.life != item.holder or key in self._open_life_by_grant:
+            if entry is None or entry.life != item.holder or key in self._open_grants:
                 continue
             if now < self._sent_at_by_range.get(key, float("-inf")) + RENEWAL_PERIOD_S:
                 continue
-            if key in self._fenced or not self._is_free(now, item):
+            if key in self._fenced or not item.is_settled:
                 continue
             if self._silence.is_dead(item.holder):
                 # Another process may listen there by now, and must not get an old grant.
                 continue
+            if not self._is_confirmed(item.holder):
+                continue
             self._sent_at_by_range[key] = now
-            self._open_life_by_grant[key] = item.holder
+            self._open_grants.add(key)
             self._silence.grant_sent(item.holder)
-            yield Grant(
-                entry,
-                item.first,
-                item.last,
-                item.fence,
-                self._hold_s,
-                now + SEND_WITHIN_S,
-                None if item.is_granted else self._silence.handover(item),
-            )
-
-    def _is_free(self, now: float, item: KeyRange) -> bool:
-        """Return whether no target but the holder can hold a key of the range."""
-        if item.is_granted:
-            return True
-        others_silent_at = self._leadership.others_silent_at()
-        return all(
-            self._silence.is_silent(now, item, life, others_silent_at) for life in item.previous
-        )
+            handover = self._silence.handover(item)
+            yield self._grant(now, entry, item, item.fence, handover)
+
+    def _transfers(self, now: float, key_map: KeyMap) -> Iterator[Grant | Release]:
+        """Take keys back from their previous holder: a barrier first, then the release.
 
-    def _releases(self, now: float, key_map: KeyMap) -> Iterator[Release]:
+        The barrier is a grant to the previous holder with a token between the old and the new
+        one. The target then refuses every older grant, whether it comes late or from an instance
+        that does not know yet that it leads no longer.
+        """
         for item in key_map.ranges:
-            if item.is_granted:
-                continue
-            for life in item.previous:
-                key = (life, item.first, item.last, item.fence)
-                entry = self._view.entry_by_id.get(life[0]) or self._entry_by_life.get(life)
-                if entry is None or self._silence.is_released(life, item):
-                    continue
-                if now < self._release_due.get(key, float("-inf")):
-                    continue
-                if self._has_open_grant(life, item):
-                    continue
-                # Set anew when the release has ended.
-                self._release_due[key] = float("inf")
-                yield Release(entry, life, item.first, item.last, item.fence)
-
-    def _has_open_grant(self, life: Life, item: KeyRange) -> bool:
-        """Return whether a grant on its way would give ``life`` keys of the range back."""
-        return any(
-            open_life == life and first <= item.last and last >= item.first
-            for (_, first, last, _), open_life in self._open_life_by_grant.items()
-        )
+            if item.previous is not None:
+                order = self._transfer(now, key_map.service, item, item.previous)
+                if order is not None:
+                    yield order
+
+    def _transfer(
+        self, now: float, service: str, item: KeyRange, life: Life
+    ) -> Grant | Release | None:
+        if (service, item.first, item.last, item.fence) in self._fenced:
+            return None
+        entry = self._view.entry_by_id.get(life[0]) or self._entry_by_life.get(life)
+        key = (life[0], item.first, item.last, item.fence)
+        if entry is None or self._silence.is_released(life, item) or self._silence.is_dead(life):
+            return None
+        if now < self._transfer_due.get(key, float("-inf")):
+            return None
+        if key in self._barriers:
+            # Set anew when the release has ended.
+            self._transfer_due[key] = float("inf")
+            return Release(entry, life, item.first, item.last, item.fence)
+        if not self._is_confirmed(entry.life):
+            return None
+        self._transfer_due[key] = float("inf")
+        self._silence.grant_sent(entry.life)
+        return self._grant(now, entry, item, item.fence - 1, None)
+
+    def _grant(
+        self, now: float, entry: TargetEntry, item: KeyRange, fence: int, handover: str | None
+    ) -> Grant:
+        not_after = now + SEND_WITHIN_S
+        return Grant(entry, item.first, item.last, fence, self._hold_s, not_after, handover)
+
+    def _is_confirmed(self, life: Life) -> bool:
+        """Return whether the target may be called: after a failure, only if it is listed since.
+
+        Otherwise a new process at its address, which knows no fencing token, could accept an old
+        grant from an instance that is cut off from the store.
+        """
+        since = self._unconfirmed_since.get(life)
+        if since is None:
+            return True
+        if self._confirmed_at <= since:
+            return False
+        del self._unconfirmed_since[life]
+        return True
 
     def _changes(self, now: float, key_map: KeyMap) -> Iterator[WriteMap]:
-        changed = plan(self._with_answers(key_map), self._holders(now, key_map.service))
+        changed = plan(self._settled(now, key_map), self._holders(now, key_map.service))
         if changed.ranges == key_map.ranges:
             return
         self._writing.add(key_map.service)
         yield WriteMap(changed, self._leadership.record.version)
 
-    def _with_answers(self, key_map: KeyMap) -> KeyMap:
-        """Return the map with accepted grants noted and fenced ranges given a new token."""
+    def _settled(self, now: float, key_map: KeyMap) -> KeyMap:
+        """Return the map in which silent previous holders and fenced tokens are replaced."""
+        others_silent_at = self._leadership.others_silent_at()
         ranges = []
         last_fence = key_map.last_fence
         for item in key_map.ranges:
-            key = (key_map.service, item.first, item.last, item.fence)
-            if not item.is_granted and key in self._accepted:
-                self._silence.forget(item)
-                ranges.append(replace(item, is_granted=True, previous=()))
-            elif key in self._fenced:
-                last_fence += 1
-                ranges.append(replace(item, fence=last_fence, is_granted=False))
+            previous = item.previous
+            if (key_map.service, item.first, item.last, item.fence) in self._fenced:
+                last_fence += FENCE_STEP
+                ranges.append(replace(item, fence=last_fence))
+            elif previous is not None and self._silence.is_silent(
+                now, item, previous, others_silent_at
+            ):
+                ranges.append(replace(item, previous=None))
             else:
                 ranges.append(item)
         return replace(key_map, last_fence=last_fence, ranges=tuple(merged(ranges)))
@@ -277,7 +335,7 @@
             life
             for key_map in self._map_by_service.values()
             for item in key_map.ranges
-            for life in (item.holder, *item.previous)
+            for life in (item.holder, item.previous)
         }
         self._entry_by_life = {
             life: entry
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -23,6 +23,7 @@
     LeaderWritten,
     MapWritten,
     Order,
+    ReadMaps,
     RegisterInstance,
     Release,
     ReleaseEnded,
@@ -81,6 +82,8 @@
         Returns a new client of the store; each task that calls it has its own.
     codec
         Writes and reads orders to targets.
+    confirmed_at
+        Returns when the store was asked for its last answer about targets, on the lease clock.
     on_failure
         See :class:`damasktide.runtime.task.Task`.
     """
@@ -90,6 +93,7 @@
         instance: InstanceRecord,
         open_store: Callable[[], RowStore],
         codec: OrderCodec,
+        confirmed_at: Callable[[], float],
         on_failure: Callable[[TaskFailed], None] | None = None,
     ) -> None:
         super().__init__("keeper", on_failure)
@@ -98,6 +102,7 @@
         self._name = instance.name
         self._clock = LeaseClock()
         self._codec = codec
+        self._confirmed_at = confirmed_at
         self._keeper = Keeper(Leadership(instance.name, instance.boot))
         self._writer = StoreWriter(open_store(), instance, self.tell)
         self._follower = TableFollower(open_store(), TABLE, self.tell)
@@ -118,6 +123,7 @@
 
     @every(TICK_S)
     def _tick(self) -> None:
+        self._keeper.set_confirmed(self._confirmed_at())
         for order in self._keeper.orders(self._clock.now()):
             self._hand_out(order)
 
@@ -140,7 +146,7 @@
         if message.table == LEADER_TABLE:
             self._keeper.leadership.absent(self._clock.now())
             return
-        self._keeper.table_read()
+        self._keeper.table_read(message.asked_at)
         self._publish()
 
     @handles(TableChanged)
@@ -222,6 +228,9 @@
         if isinstance(order, Grant | Release):
             self._sender(order.entry.address).tell(order)
             return
+        if isinstance(order, ReadMaps):
+            self._follower.read_again()
+            return
         self._writer.tell(order)
 
     def _sender(self, address: tuple[str, int]) -> OrderSender:
--- a/packages/damasktide/src/damasktide/keyspace/key_map.py
+++ b/packages/damasktide/src/damasktide/keyspace/key_map.py
@@ -22,24 +22,26 @@
         Life of the target that holds the keys or is to get them.
     fence
         Fencing token of the holder's grant.
-    is_granted
-        Whether the holder has accepted its grant.
     previous
-        Lives that may still hold the keys until they are known not to.
+        Life that may still hold the keys. While it is set, the holder has been granted nothing.
     """
 
     first: int
     last: int
     holder: Life
     fence: int
-    is_granted: bool = False
-    previous: tuple[Life, ...] = ()
+    previous: Life | None = None
 
     @property
     def size(self) -> int:
         """Number of keys."""
         return self.last - self.first + 1
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the holder may be granted the keys."""
+        return self.previous is None
+
     def part(self, first: int, last: int) -> "KeyRange":
         """Return the same assignment for a part of the keys."""
         return replace(self, first=first, last=last)
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -60,6 +60,7 @@
         self._write_again_at = float("-inf")
         self._has_leader_ended = False
         self._has_resigned = False
+        self._took_over_at = float("-inf")
         self._others_silent_at = float("-inf")
         self._predecessor = LeaderRecord()
         self._is_predecessor_pending = False
@@ -78,6 +79,10 @@
         """Return whether grants under the known maps may be renewed."""
         return self.is_leader and now < self._asked_at + RIGHT_S
 
+    def took_over_at(self) -> float:
+        """Return when the write that made this process the leader was known to have succeeded."""
+        return self._took_over_at
+
     def others_silent_at(self) -> float:
         """Return the time from which no earlier leader renews any grant."""
         return self._others_silent_at
@@ -149,6 +154,7 @@
 
     def _take_over(self, now: float, before: LeaderRecord) -> None:
         self._predecessor = before
+        self._took_over_at = now
         if not before.instance or self._has_leader_ended or self._is_earlier_self():
             self._others_silent_at = now
             self._is_predecessor_pending = False
--- a/packages/damasktide/src/damasktide/keyspace/messages.py
+++ b/packages/damasktide/src/damasktide/keyspace/messages.py
@@ -185,4 +185,9 @@
     is_leaving: bool = False
 
 
-Order = Grant | Release | WriteMap | WriteLeader
+@dataclass(frozen=True, slots=True)
+class ReadMaps:
+    """Reads all maps, because an earlier leader may have written them a moment ago."""
+
+
+Order = Grant | Release | WriteMap | WriteLeader | ReadMaps
--- a/packages/damasktide/src/damasktide/keyspace/planner.py
+++ b/packages/damasktide/src/damasktide/keyspace/planner.py
@@ -9,6 +9,8 @@
 LEAST_FAIR_PART = 0.8
 # Smaller pieces are not cut off, because each range costs a call at every renewal.
 LEAST_PIECE_KEYS = 512
+# The token below that of the next holder goes to the previous one as a barrier.
+FENCE_STEP = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +70,7 @@
     fence = key_map.last_fence
     added = []
     for piece, life in _deal(pool, size_by_life, fair_by_life):
-        fence += 1
+        fence += FENCE_STEP
         added.append(_assigned(piece, life, fence))
     ranges = sorted((*kept, *added), key=lambda item: item.first)
     return replace(key_map, last_fence=fence, ranges=tuple(merged(ranges)))
@@ -76,7 +78,7 @@
 
 def move(key_map: KeyMap, first: int, last: int, life: Life) -> KeyMap:
     """Return the map in which ``life`` holds the keys from ``first`` to ``last``."""
-    fence = key_map.last_fence + 1
+    fence = key_map.last_fence + FENCE_STEP
     ranges: list[KeyRange] = []
     for item in key_map.ranges:
         if item.last < first or item.first > last or item.holder == life:
@@ -157,6 +159,6 @@
     source = piece.source
     if source is None:
         return KeyRange(piece.first, piece.last, life, fence)
-    # The present holder may have been sent a grant before it accepted one.
-    previous = tuple(dict.fromkeys((*source.previous, source.holder)))
-    return KeyRange(piece.first, piece.last, life, fence, False, previous)
+    # A holder that still waits for the previous one has been granted nothing.
+    previous = source.holder if source.is_settled else source.previous
+    return KeyRange(piece.first, piece.last, life, fence, previous)
--- a/packages/damasktide/src/damasktide/keyspace/silence.py
+++ b/packages/damasktide/src/damasktide/keyspace/silence.py
@@ -28,9 +28,10 @@
 
     def __init__(self, hold_s: float) -> None:
         self._hold_s = hold_s
-        self._open_grants: Counter[Life] = Counter()
-        self._held_until_by_life: dict[Life, float] = {}
-        self._late_until_by_life: dict[Life, float] = {}
+        # By target id: a barrier may go to a later life than the one that held the keys.
+        self._open_grants_by_id: Counter[str] = Counter()
+        self._held_until_by_id: dict[str, float] = {}
+        self._last_life_by_id: dict[str, Life] = {}
         self._dead_lives: set[Life] = set()
         self._handover_by_release: dict[_ReleaseKey, str | None] = {}
 
@@ -41,18 +42,18 @@
 
     def grant_sent(self, life: Life) -> None:
         """Note that a grant is on its way; its arrival is open until it has ended."""
-        self._open_grants[life] += 1
+        self._open_grants_by_id[life[0]] += 1
+        self._last_life_by_id[life[0]] = life
 
-    def grant_ended(self, ended_at: float, life: Life, is_answered: bool) -> None:
+    def grant_ended(self, ended_at: float, life: Life) -> None:
         """Note that this grant cannot arrive after ``ended_at``.
 
-        One without an answer may be carried out late, after a release, within its hold.
+        One without an answer may still be carried out, within its hold.
         """
-        self._open_grants[life] = max(0, self._open_grants[life] - 1)
+        target_id = life[0]
+        self._open_grants_by_id[target_id] = max(0, self._open_grants_by_id[target_id] - 1)
         until = ended_at + self.longest_hold_s
-        self._held_until_by_life[life] = max(until, self._held_until_by_life.get(life, 0.0))
-        if not is_answered:
-            self._late_until_by_life[life] = self._held_until_by_life[life]
+        self._held_until_by_id[target_id] = max(until, self._held_until_by_id.get(target_id, 0.0))
 
     def died(self, life: Life) -> None:
         """Note that the process of this life has ended."""
@@ -86,25 +87,29 @@
         others_silent_at
             Time from which no other instance has sent it a grant.
         """
-        if life in self._dead_lives:
-            return True
+        target_id = life[0]
         if self.is_released(life, item):
-            return now >= self._late_until_by_life.get(life, float("-inf"))
-        if self._open_grants[life]:
+            # The barrier that went before the release keeps out every older grant.
+            return True
+        if self._open_grants_by_id[target_id]:
             return False
+        if {life, self._last_life_by_id.get(target_id, life)} <= self._dead_lives:
+            return True
         unknown_until = others_silent_at + self.longest_hold_s
-        return now >= max(unknown_until, self._held_until_by_life.get(life, float("-inf")))
+        return now >= max(unknown_until, self._held_until_by_id.get(target_id, float("-inf")))
 
     def handover(self, item: KeyRange) -> str | None:
-        """Return what the last holder of exactly these keys gave back, or None."""
-        if not item.previous:
-            return None
-        return self._handover_by_release.get(_key(item.previous[-1], item))
-
-    def forget(self, item: KeyRange) -> None:
-        """Drop what was noted of the previous holders of a range that has been granted."""
-        for life in item.previous:
-            self._handover_by_release.pop(_key(life, item), None)
+        """Return what the previous holder of exactly these keys gave back, or None."""
+        for (_, first, last, fence), handover in self._handover_by_release.items():
+            if (first, last, fence) == (item.first, item.last, item.fence):
+                return handover
+        return None
+
+    def forget(self, first: int, last: int, fence: int) -> None:
+        """Drop what was noted of a transfer whose keys have been granted."""
+        transfer = (first, last, fence)
+        for key in [key for key in self._handover_by_release if key[1:] == transfer]:
+            del self._handover_by_release[key]
 
 
 def _key(life: Life, item: KeyRange) -> _ReleaseKey:
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -15,6 +15,7 @@
     StoreUnavailableError,
     TableState,
 )
+from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.task import Task
 
 # First and longest pause after a failed call; each failure doubles it.
@@ -49,7 +50,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRead:
-    """The complete table has been read, at the start or because changes were missed."""
+    """The complete table has been read, at the start or because changes were missed.
+
+    Attributes
+    ----------
+    table
+        Name of the table.
+    state
+        Its rows.
+    asked_at
+        Lease clock at which the store was asked.
+    """
 
     table: str
     state: TableState
@@ -58,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TableChanged:
-    """Rows have changed."""
+    """Rows have changed; the attributes are as in :class:`TableRead`."""
 
     table: str
     changes: Changes
@@ -119,6 +130,7 @@
         self._pause_s = RETRY_FIRST_S
         self._is_lost = False
         self._due_at = 0.0
+        self._clock = LeaseClock()
         self._random = Random()
 
     def interrupt(self) -> None:
@@ -126,6 +138,11 @@
         if not self._is_lost:
             self._store.interrupt()
 
+    def read_again(self) -> None:
+        """Read the complete table at the next call, and end the present wait."""
+        self._version = None
+        self.interrupt()
+
     def set_pace(self, pace: FollowPace) -> None:
         """Ask more or less often from the next call on."""
         self._pace = pace
@@ -140,7 +157,7 @@
         self._due_at = monotonic() + self._pace.gap_s
 
     def _follow(self) -> None:
-        asked_at = monotonic()
+        asked_at = self._clock.now()
         try:
             message = self._call(asked_at)
         except HistoryLostError:
@@ -160,7 +177,8 @@
             self._version = state.version
             return TableRead(self._table, state, asked_at)
         changes = self._store.wait_for_changes(self._table, self._version, self._wait_s())
-        self._version = max(self._version, changes.version)
+        if self._version is not None:
+            self._version = max(self._version, changes.version)
         return TableChanged(self._table, changes, asked_at)
 
     def _wait_s(self) -> float:
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -69,6 +69,8 @@
         super().__init__("targets", on_failure)
         self.view: Published[TargetView] = Published(TargetView())
         self.has_read = False
+        # Lease clock at which the store was asked for its last answer.
+        self.confirmed_at: Published[float] = Published(float("-inf"))
         self._decode = decode
         self._on_change = on_change
         self._on_store_lost = on_store_lost
@@ -92,11 +94,13 @@
         listed_ids = frozenset(row.key for row in state.rows)
         self._directory.reconcile(monotonic(), state.version, listed_ids)
         self.has_read = True
+        self.confirmed_at.publish(message.asked_at)
         self._publish()
 
     @handles(TableChanged)
     def _table_changed(self, message: TableChanged) -> None:
         self._take_rows(message.changes.rows)
+        self.confirmed_at.publish(message.asked_at)
         self._publish()
 
     @handles(StoreLost)
