Wait for the hold of a target that refuses connections; hold keys for 1.5 s

Ruled out: the fence of the release, the target's clock. Change: only another server at the address shows an end; holds of 1.5 s renewed every 0.4 s, so keys are back within 2 s; bystanders wait for their observation gap; failed writes are tried each second.

--- a/packages/damasktide/src/damasktide/http1/listener.py
+++ b/packages/damasktide/src/damasktide/http1/listener.py
@@ -46,9 +46,15 @@
         self._server.start()
 
     @property
-    def open_connections(self) -> int:
-        """Number of open connections."""
-        return len(self._connections)
+    def address(self) -> tuple[str, int]:
+        """Host and port; the port that was taken if port 0 was asked for."""
+        host, port = self._server.address[:2]
+        return host, port
+
+    def close_all(self) -> None:
+        """Close all open connections."""
+        for connection in list(self._connections):
+            connection.close()
 
     def stop_accepting(self) -> None:
         """Close the listening socket; open connections stay."""
--- a/packages/damasktide/src/damasktide/keyspace/contacts.py
+++ b/packages/damasktide/src/damasktide/keyspace/contacts.py
@@ -32,12 +32,12 @@
         if contact is not None:
             contact.failing_since = None
 
-    def failed(self, now: float, life: Life, has_ended: bool) -> None:
-        """Note an order without an answer, or that the process has ended."""
+    def failed(self, now: float, life: Life, is_leaving: bool) -> None:
+        """Note an order without an answer, or that the target takes no more orders."""
         contact = self._contact_by_life.setdefault(life, _Contact())
         if contact.failing_since is None:
             contact.failing_since = now
-        if has_ended or now - contact.failing_since >= LOST_AFTER_S:
+        if is_leaving or now - contact.failing_since >= LOST_AFTER_S:
             contact.left_out_until = now + LEFT_OUT_S
 
     def is_left_out(self, now: float, life: Life) -> bool:
--- a/packages/damasktide/src/damasktide/keyspace/keeper.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper.py
@@ -26,12 +26,14 @@
 from damasktide.keyspace.silence import SilenceRecord
 from damasktide.targets.target import TargetEntry, TargetView
 
-# Long enough for a new leader to be found and to renew, short because the keys of a silent target
-# wait for it to pass.
-HOLD_S = 3.0
-RENEWAL_PERIOD_S = 0.75
+# The keys of a lost target wait until its hold has passed, and are to be served again within 2 s.
+HOLD_S = 1.5
+# Three renewals fit into a hold, so that a lost packet or a slow answer ends none.
+RENEWAL_PERIOD_S = 0.4
 RELEASE_RETRY_S = 0.4
 READ_RETRY_S = 0.5
+# Longer than a hold: a target that does not answer is silent before it is tried again.
+BARRIER_RETRY_S = 2.5
 # A grant that could not be sent within this time is decided anew.
 SEND_WITHIN_S = 0.3
 
@@ -65,8 +67,10 @@
         self._sent_at_by_range: dict[_RangeKey, float] = {}
         self._open_grants: set[_RangeKey] = set()
         self._fenced: set[_RangeKey] = set()
+        self._settled_transfers: set[_RangeKey] = set()
         self._barriers: set[_Transfer] = set()
         self._transfer_due: dict[_Transfer, float] = {}
+        self._barrier_due_by_id: dict[str, float] = {}
         self._unconfirmed_since: dict[Life, float] = {}
         self._confirmed_at = float("-inf")
         self._writing: set[str] = set()
@@ -147,7 +151,7 @@
         life = grant.entry.life
         key = (grant.entry.service, grant.first, grant.last, grant.fence)
         self._open_grants.discard(key)
-        self._silence.grant_ended(ended.ended_at, life)
+        self._silence.grant_ended(ended.ended_at, life, result.may_have_arrived)
         transfer = (life[0], grant.first, grant.last, grant.fence + 1)
         self._transfer_due.pop(transfer, None)
         if result is OrderResult.NOT_SENT:
@@ -155,7 +159,7 @@
         if result.is_answered:
             self._contacts.answered(life)
         else:
-            self._contacts.failed(now, life, result.shows_end)
+            self._contacts.failed(now, life, result.shows_leaving)
             self._unconfirmed_since[life] = now
             logger.bind(
                 target=life[0], first=grant.first, last=grant.last, result=result.value
@@ -166,6 +170,8 @@
             # A barrier may be carried out late, also after a release: the transfer starts anew
             # with a higher token. No range has the token above that of a holder's own grant.
             self._fenced.add((grant.entry.service, *transfer[1:]))
+            # Each try that may arrive prolongs the time until the target is certainly silent.
+            self._barrier_due_by_id[life[0]] = now + BARRIER_RETRY_S
         if result is OrderResult.ACCEPTED:
             self._silence.forget(grant.first, grant.last, grant.fence)
             self._barriers.add(transfer)
@@ -199,7 +205,8 @@
     def leader_written(self, now: float, written: LeaderWritten) -> None:
         """Take in the end of a write of the leader's row."""
         if written.result is not WriteResult.WRITTEN:
-            self._leadership.write_failed(now)
+            is_conflict = written.result is WriteResult.CONFLICT
+            self._leadership.write_failed(now, is_conflict)
             return
         was_leader = self._leadership.is_leader
         self._leadership.wrote(now, written.asked_at, written.version)
@@ -261,7 +268,9 @@
     def _transfer(
         self, now: float, service: str, item: KeyRange, life: Life
     ) -> Grant | Release | None:
-        if (service, item.first, item.last, item.fence) in self._fenced:
+        key_of_range = (service, item.first, item.last, item.fence)
+        if key_of_range in self._fenced or key_of_range in self._settled_transfers:
+            # A barrier after the map has been written would give the keys back.
             return None
         entry = self._view.entry_by_id.get(life[0]) or self._entry_by_life.get(life)
         key = (life[0], item.first, item.last, item.fence)
@@ -273,7 +282,7 @@
             # Set anew when the release has ended.
             self._transfer_due[key] = float("inf")
             return Release(entry, life, item.first, item.last, item.fence)
-        if not self._is_confirmed(entry.life):
+        if not self._is_confirmed(entry.life) or now < self._barrier_due_by_id.get(life[0], now):
             return None
         self._transfer_due[key] = float("inf")
         self._silence.grant_sent(entry.life)
@@ -283,7 +292,7 @@
         self, now: float, entry: TargetEntry, item: KeyRange, fence: int, handover: str | None
     ) -> Grant:
         not_after = now + SEND_WITHIN_S
-        return Grant(entry, item.first, item.last, fence, self._hold_s, not_after, handover)
+        return Grant(entry, item.first, item.last, fence, self._hold_s, now, not_after, handover)
 
     def _is_confirmed(self, life: Life) -> bool:
         """Return whether the target may be called: after a failure, only if it is listed since.
@@ -313,12 +322,14 @@
         last_fence = key_map.last_fence
         for item in key_map.ranges:
             previous = item.previous
-            if (key_map.service, item.first, item.last, item.fence) in self._fenced:
+            key = (key_map.service, item.first, item.last, item.fence)
+            if key in self._fenced:
                 last_fence += FENCE_STEP
                 ranges.append(replace(item, fence=last_fence))
             elif previous is not None and self._silence.is_silent(
                 now, item, previous, others_silent_at
             ):
+                self._settled_transfers.add(key)
                 ranges.append(replace(item, previous=None))
             else:
                 ranges.append(item)
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -48,7 +48,7 @@
 TICK_S = 0.1
 # Instances that notice the loss of the leader at once; the others do some seconds later.
 STANDBYS = 3
-STANDBY_PACE = FollowPace(gap_s=0.3, wait_s=1.0)
+STANDBY_PACE = FollowPace(gap_s=0.25, wait_s=1.0)
 BYSTANDER_PACE = FollowPace(gap_s=4.0, wait_s=1.0)
 
 
@@ -216,7 +216,10 @@
         counts = Counter(self._domain_by_instance.values())
         if counts != self.instances.value.count_by_domain:
             self.instances.publish(InstanceCounts(counts))
-            self._leader_follower.set_pace(self._pace())
+            pace = self._pace()
+            self._leader_follower.set_pace(pace)
+            gap_s = pace.gap_s + pace.wait_s if pace is BYSTANDER_PACE else 0.0
+            self._keeper.leadership.set_observation_gap(gap_s)
 
     def _pace(self) -> FollowPace:
         """Return how closely this instance follows the leader: few stand by to take over."""
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -4,16 +4,20 @@
 from random import Random
 
 # The leader writes its row this often.
-RENEWAL_PERIOD_S = 0.7
+RENEWAL_PERIOD_S = 0.5
 # A row unchanged for this long, on the observer's own clock, may be taken over. The store's
 # condition allows one winner, so an early takeover costs a change of the leader, never safety.
-TAKEOVER_AFTER_S = 2.0
-TAKEOVER_JITTER_S = 0.4
-# After a failed write the row is awaited from the store before the next try.
-WRITE_RETRY_S = 0.3
+TAKEOVER_AFTER_S = 1.4
+TAKEOVER_JITTER_S = 0.2
+# After a conflict the row is awaited from the store before the next try; a store that does not
+# answer is tried less often, because each call is paid for.
+CONFLICT_RETRY_S = 0.3
+WRITE_RETRY_S = 1.0
 # A leader that has lost the store renews grants under the unchanged map for this long. It covers
 # the outages of some 10 s that the users describe.
 RIGHT_S = 15.0
+# A row that was read may be this old by the time it is seen.
+LONGEST_READ_S = 1.5
 # Bound on the difference in rate between two clocks.
 CLOCK_RATE_ERROR = 0.01
 
@@ -59,6 +63,7 @@
         self._is_writing = False
         self._write_again_at = float("-inf")
         self._has_leader_ended = False
+        self._takeover_after_s = TAKEOVER_AFTER_S
         self._has_resigned = False
         self._took_over_at = float("-inf")
         self._others_silent_at = float("-inf")
@@ -91,6 +96,10 @@
         """Take in the row; an older version than a known one is ignored."""
         if self._seen_at is not None and record.version <= self._record.version:
             return
+        if self._is_own(record) and not self._is_own(self._record):
+            # A write without an answer took effect, perhaps late: a takeover like any other.
+            self._take_over(now, self._record)
+            self._asked_at = now - LONGEST_READ_S
         self._record = record
         self._has_leader_ended = False
         self._seen_at = now
@@ -121,7 +130,7 @@
             return now >= self._asked_at + RENEWAL_PERIOD_S
         if not self._record.instance or self._has_leader_ended or self._is_earlier_self():
             return now >= self._seen_at + self._jitter_s
-        return now >= self._seen_at + TAKEOVER_AFTER_S + self._jitter_s
+        return now >= self._seen_at + self._takeover_after_s + self._jitter_s
 
     def write_begins(self) -> None:
         """Note that a write is on its way."""
@@ -137,10 +146,14 @@
         self._record = LeaderRecord(self._instance, self._boot, version)
         self._seen_at = now
 
-    def write_failed(self, now: float) -> None:
+    def set_observation_gap(self, gap_s: float) -> None:
+        """Take in how long a change of the row may go unseen here."""
+        self._takeover_after_s = TAKEOVER_AFTER_S + gap_s
+
+    def write_failed(self, now: float, is_conflict: bool) -> None:
         """Take in that the write failed; the row is then read again before another try."""
         self._is_writing = False
-        self._write_again_at = now + WRITE_RETRY_S
+        self._write_again_at = now + (CONFLICT_RETRY_S if is_conflict else WRITE_RETRY_S)
         self._jitter_s = self._rng.random() * TAKEOVER_JITTER_S
 
     def resign(self) -> None:
--- a/packages/damasktide/src/damasktide/keyspace/messages.py
+++ b/packages/damasktide/src/damasktide/keyspace/messages.py
@@ -18,6 +18,11 @@
     UNREACHABLE = "unreachable"
     FAILED = "failed"
 
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether the target may have received the order."""
+        return self in (OrderResult.ACCEPTED, OrderResult.FENCED, OrderResult.FAILED)
+
     @property
     def is_answered(self) -> bool:
         """Whether the target itself has answered."""
@@ -25,7 +30,16 @@
 
     @property
     def shows_end(self) -> bool:
-        """Whether the process to which the order went has ended."""
+        """Whether the process to which the order went has ended.
+
+        A refused connection does not show it: a target that leaves stops listening while it
+        still finishes what it has begun.
+        """
+        return self is OrderResult.ANOTHER_SERVER
+
+    @property
+    def shows_leaving(self) -> bool:
+        """Whether the target takes no more orders, so its keys are to be moved at once."""
         return self in (OrderResult.REFUSED_CONNECTION, OrderResult.ANOTHER_SERVER)
 
 
@@ -43,8 +57,8 @@
         Fencing token.
     hold_s
         Time for which the grant holds, from the arrival of the call.
-    not_after
-        Time on the lease clock after which it must not be sent.
+    issued_at, not_after
+        Times on the lease clock: when it was decided, and after which it must not be sent.
     handover
         What the last holder gave back, or None.
     """
@@ -54,6 +68,7 @@
     last: int
     fence: int
     hold_s: float
+    issued_at: float
     not_after: float
     handover: str | None = None
 
--- a/packages/damasktide/src/damasktide/keyspace/order_sender.py
+++ b/packages/damasktide/src/damasktide/keyspace/order_sender.py
@@ -15,7 +15,7 @@
 from damasktide.runtime.task import Task, handles
 
 CONNECT_TIMEOUT_S = 0.5
-GRANT_TIMEOUT_S = 0.8
+GRANT_TIMEOUT_S = 0.6
 # A release is answered when the work on the keys has ended.
 RELEASE_TIMEOUT_S = 4.0
 # Shorter than the time after which targets close idle connections.
@@ -63,6 +63,8 @@
         self._notify = notify
         self._clock = LeaseClock()
         self._connection: ServerConnection | None = None
+        # Grants decided before a failure are not sent after it: a new process may listen there.
+        self._failed_at = float("-inf")
 
     def on_stop(self) -> None:
         """Close the connection."""
@@ -71,7 +73,7 @@
 
     @handles(Grant)
     def _grant(self, grant: Grant) -> None:
-        if self._clock.now() >= grant.not_after:
+        if grant.issued_at <= self._failed_at or self._clock.now() >= grant.not_after:
             self._notify(GrantEnded(grant, OrderResult.NOT_SENT, self._clock.now()))
             return
         result = self._try_grant(grant)
@@ -89,6 +91,7 @@
             head = self._call(connection, self._codec.grant_request(grant), GRANT_TIMEOUT_S)
         except CallError as error:
             self._drop()
+            self._failed_at = self._clock.now()
             return _result_of(error)
         connection.idle_since = monotonic()
         if not connection.is_reusable():
--- a/packages/damasktide/src/damasktide/keyspace/silence.py
+++ b/packages/damasktide/src/damasktide/keyspace/silence.py
@@ -45,13 +45,15 @@
         self._open_grants_by_id[life[0]] += 1
         self._last_life_by_id[life[0]] = life
 
-    def grant_ended(self, ended_at: float, life: Life) -> None:
+    def grant_ended(self, ended_at: float, life: Life, may_have_arrived: bool) -> None:
         """Note that this grant cannot arrive after ``ended_at``.
 
         One without an answer may still be carried out, within its hold.
         """
         target_id = life[0]
         self._open_grants_by_id[target_id] = max(0, self._open_grants_by_id[target_id] - 1)
+        if not may_have_arrived:
+            return
         until = ended_at + self.longest_hold_s
         self._held_until_by_id[target_id] = max(until, self._held_until_by_id.get(target_id, 0.0))
 
