--- a/packages/damasktide/src/damasktide/keyspace/keeper.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper.py
@@ -326,8 +326,9 @@
             if key in self._fenced:
                 last_fence += FENCE_STEP
                 ranges.append(replace(item, fence=last_fence))
-            elif previous is not None and self._silence.is_silent(
-                now, item, previous, others_silent_at
+            elif previous is not None and (
+                key in self._settled_transfers
+                or self._silence.is_silent(now, item, previous, others_silent_at)
             ):
                 self._settled_transfers.add(key)
                 ranges.append(replace(item, previous=None))
