--- /dev/null
+++ b/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
@@ -0,0 +1,115 @@
+"""Requests of callers over loopback: malformed heads, limits, callers that leave."""
+
+import unittest
+
+from gevent import socket
+from gevent.event import Event
+
+from damasktide.http1.caller_connection import CallerConnection, CallerLimits
+from damasktide.http1.errors import BadRequestError
+from damasktide.http1.messages import RequestHead
+
+LIMITS = CallerLimits(header_bytes=512, body_bytes=64, header_timeout_s=0.2, idle_timeout_s=0.3)
+
+
+class CallerConnectionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.caller = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        listener.close()
+        self.connection = CallerConnection(accepted, lambda: LIMITS)
+        self.addCleanup(self.caller.close)
+        self.addCleanup(self.connection.close)
+
+    def request(self, data: bytes) -> tuple[RequestHead | None, bytes]:
+        self.caller.sendall(data)
+        head = self.connection.read_request()
+        return head, b"".join(self.connection.read_body()) if head is not None else b""
+
+    def status_of(self, data: bytes) -> int:
+        with self.assertRaises(BadRequestError) as raised:
+            self.request(data)
+        return raised.exception.status
+
+
+class TestRequests(CallerConnectionTest):
+    def test_target_is_kept_as_received(self) -> None:
+        head, _ = self.request(b"GET /a%2Fb//c?d=%20&e HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert head is not None
+        self.assertEqual(head.target, b"/a%2Fb//c?d=%20&e")
+
+    def test_body_with_length_and_the_request_after_it(self) -> None:
+        first = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+        second = b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.assertEqual(self.request(first + second)[1], b"abc")
+        head = self.connection.read_request()
+        assert head is not None
+        self.assertEqual(head.target, b"/next")
+
+    def test_chunked_body(self) -> None:
+        data = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(self.request(data)[1], b"abcde")
+
+    def test_requests_that_could_be_read_in_two_ways(self) -> None:
+        """A request smuggled inside another must reach no target."""
+        for fields in (
+            b"Host: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+            b"Host: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n",
+            b"Host : h\r\n",
+            b"Host: h\r\nHost: i\r\n",
+            b"",
+        ):
+            with self.subTest(fields=fields):
+                self.setUp()
+                self.assertEqual(self.status_of(b"POST / HTTP/1.1\r\n" + fields + b"\r\n"), 400)
+
+    def test_bare_line_feeds(self) -> None:
+        self.assertEqual(self.status_of(b"GET / HTTP/1.1\nHost: h\r\n\r\n"), 400)
+
+    def test_absolute_target(self) -> None:
+        self.assertEqual(self.status_of(b"GET http://x/ HTTP/1.1\r\nHost: h\r\n\r\n"), 400)
+
+
+class TestLimits(CallerConnectionTest):
+    def test_large_head(self) -> None:
+        data = b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 600 + b"\r\n\r\n"
+        self.assertEqual(self.status_of(data), 431)
+
+    def test_large_body(self) -> None:
+        data = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" + b"x" * 65
+        self.assertEqual(self.status_of(data), 413)
+
+    def test_slow_head(self) -> None:
+        self.assertEqual(self.status_of(b"GET / HTTP/1.1\r\n"), 408)
+
+    def test_slow_body(self) -> None:
+        self.assertEqual(
+            self.status_of(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"), 408
+        )
+
+    def test_idle_connection_ends_without_an_answer(self) -> None:
+        self.assertIsNone(self.connection.read_request())
+
+
+class TestLeaving(CallerConnectionTest):
+    def test_caller_that_leaves_is_noticed(self) -> None:
+        """Work that nobody waits for must end within half a second."""
+        self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        gone = Event()
+        self.connection.watch(gone.set)
+        self.caller.close()
+        self.assertTrue(gone.wait(0.5))
+        self.assertTrue(self.connection.is_gone)
+
+    def test_next_request_is_not_taken_for_leaving(self) -> None:
+        self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        gone = Event()
+        self.connection.watch(gone.set)
+        self.caller.sendall(b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertFalse(gone.wait(0.1))
+        self.connection.unwatch()
+        self.assertIsNotNone(self.connection.read_request())
