Drop code that did nothing from the gateway

The loop that discarded connections to addresses that are listed no more compared a view with itself, because the view is published before it is told, so it never ran; idle connections end by their time limit. A wrapper and a property had no use.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -13,7 +13,7 @@
 from damasktide.gateway.handler import GatewayHandler, GatewayParts
 from damasktide.gateway.probe_listener import ProbeHandler
 from damasktide.gateway.telemetry import GatewayTelemetry
-from damasktide.http1.caller_connection import CallerConnection, CallerLimits
+from damasktide.http1.caller_connection import CallerLimits
 from damasktide.http1.listener import Listener
 from damasktide.http1.pool import ConnectionPool
 from damasktide.keyspace.keeper_task import KeeperTask, KeyedServices, Resign, TargetsChanged
@@ -125,7 +125,7 @@
         self._pool = ConnectionPool()
         self._handler = GatewayHandler(self._parts(adapter, registry))
         self._listener = Listener(
-            (settings.listen.host, settings.listen.port), self._limits, self._serve
+            (settings.listen.host, settings.listen.port), self._limits, self._handler.serve
         )
         probes = ProbeHandler(
             adapter.readiness_path, adapter.metrics_path, lambda: self._state.value, registry
@@ -169,9 +169,6 @@
             GatewayTelemetry(registry),
         )
 
-    def _serve(self, caller: CallerConnection) -> None:
-        self._handler.serve(caller)
-
     def _limits(self) -> CallerLimits:
         in_force = self._routing.in_force.value
         return in_force.configuration.limits if in_force is not None else CallerLimits()
@@ -192,13 +189,8 @@
                 self._listener.close_idle()
 
     def _targets_changed(self, view: TargetView) -> None:
-        known = self._targets.view.value
         self._dispatcher.set_targets(monotonic(), view)
         self._keeper.tell(TargetsChanged(view))
-        listed = {entry.address for entry in view.entry_by_id.values()}
-        for entry in known.entry_by_id.values():
-            if entry.address not in listed:
-                self._pool.discard(entry.address)
 
     def _store_lost(self) -> None:
         self._routing.store_lost()
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -78,11 +78,6 @@
         self._connect_timeout_s = CONNECT_TIMEOUT_S
         self.started_at = monotonic()
 
-    @property
-    def entry(self) -> TargetEntry:
-        """The target."""
-        return self._entry
-
     def send(self, until: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
         """Write the request.
 
--- a/packages/damasktide/src/damasktide/http1/pool.py
+++ b/packages/damasktide/src/damasktide/http1/pool.py
@@ -73,11 +73,6 @@
         connection.idle_limit_s = idle_limit_s(head)
         idle.append(connection)
 
-    def discard(self, address: Address) -> None:
-        """Close all idle connections to ``address``."""
-        for connection in self._idle_by_address.pop(address, ()):
-            connection.close()
-
     def close_expired(self) -> None:
         """Close idle connections whose time limit has passed; to be called each second."""
         now = monotonic()
