Choose few senders to a cold target; grant it no further keys

A cold target there tolerates 4.5 requests a second; 18 instances of its domain each had a share of a quarter request a second and could send their one at the same moment (15 in a second, 14.8 allowed). Ruled out: targets not known to be cold, which are limited after their first refused connection.

Change: at most as many instances as the target tolerates requests a second send to it while it is cold, chosen by rendezvous hashing, each with a share of one a second or more. The keeper grants no further keys to a cold target while a warm one can hold them.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -121,7 +121,9 @@
             self._evacuated,
             fail,
         )
-        self._dispatcher = Dispatcher(settings.domain, settings.region_by_domain)
+        self._dispatcher = Dispatcher(
+            settings.domain, settings.region_by_domain, settings.instance
+        )
         self._pool = ConnectionPool()
         self._handler = GatewayHandler(self._parts(adapter, registry))
         self._listener = Listener(
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from random import Random
 
-from damasktide.dispatch.cold_start import ColdStartLimiter, InstanceCounts
+from damasktide.dispatch.cold_start import ColdStartLimiter, Instances
 from damasktide.dispatch.load_estimate import LoadEstimate, LoadReport
 from damasktide.dispatch.policies import Policy, Ranking, dispatch_policies
 from damasktide.routing.configuration import Service
@@ -170,6 +170,8 @@
     ----------
     domain, region_by_domain
         Failure domain of this instance, and the region of each failure domain.
+    instance
+        Name of this instance.
     rng
         Source of randomness.
     policy
@@ -180,6 +182,7 @@
         self,
         domain: str,
         region_by_domain: Mapping[str, str],
+        instance: str = "",
         rng: Random | None = None,
         policy: str = "expected_finish",
     ) -> None:
@@ -189,9 +192,9 @@
         self._rng = rng or Random()
         self._policy: Policy = dispatch_policies.get(policy)
         self._view = TargetView()
-        self._counts = InstanceCounts()
+        self._instances = Instances()
         self._estimate_by_life: dict[tuple[str, int], LoadEstimate] = {}
-        self._cold_limiter = ColdStartLimiter(domain)
+        self._cold_limiter = ColdStartLimiter(instance)
         self._usual_s_by_route: dict[str, float] = {}
 
     def set_targets(self, now: float, view: TargetView) -> None:
@@ -208,9 +211,9 @@
             self._estimate_by_life[entry.life] = estimate
         self._cold_limiter.forget(set(view.entry_by_id))
 
-    def set_instances(self, counts: InstanceCounts) -> None:
-        """Replace the counts of instances that share a cold target."""
-        self._counts = counts
+    def set_instances(self, instances: Instances) -> None:
+        """Replace the instances that share a cold target."""
+        self._instances = instances
 
     def usual_s(self, route: str, objective_s: float) -> float:
         """Return the time that a call of ``route`` usually takes."""
@@ -339,7 +342,7 @@
             return True
         entry = estimate.entry
         return self._cold_limiter.admits(
-            now, entry.target_id, entry.domain, service.cold_requests_per_s, self._counts
+            now, entry.target_id, entry.domain, service.cold_requests_per_s, self._instances
         )
 
     def _is_allowed(self, entry: TargetEntry, wanted: Wanted) -> bool:
--- a/packages/damasktide/src/damasktide/dispatch/tests/samples.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/samples.py
@@ -25,7 +25,7 @@
 
 def dispatcher(*entries: TargetEntry, policy: str = "expected_finish") -> Dispatcher:
     """Return a dispatcher in domain ``a1`` that knows ``entries``."""
-    made = Dispatcher("a1", REGION_BY_DOMAIN, policy=policy)
+    made = Dispatcher("a1", REGION_BY_DOMAIN, "a1-0", policy=policy)
     made.set_targets(0.0, view(*entries))
     return made
 
--- a/packages/damasktide/src/damasktide/keyspace/keeper.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper.py
@@ -63,6 +63,7 @@
         self._services: frozenset[str] = frozenset()
         self._view = TargetView()
         self._entry_by_life: dict[Life, TargetEntry] = {}
+        self._cold_until_by_life: dict[Life, float] = {}
         self._map_by_service: dict[str, KeyMap] = {}
         self._sent_at_by_range: dict[_RangeKey, float] = {}
         self._open_grants: set[_RangeKey] = set()
@@ -92,10 +93,12 @@
         """Replace the names of the services whose keys are granted."""
         self._services = services
 
-    def set_targets(self, view: TargetView) -> None:
+    def set_targets(self, now: float, view: TargetView) -> None:
         """Replace what is known of the targets."""
         self._view = view
         for entry in view.entry_by_id.values():
+            if entry.cold_left_s > 0.0 and self._entry_by_life.get(entry.life) != entry:
+                self._cold_until_by_life[entry.life] = now + entry.cold_left_s
             self._entry_by_life[entry.life] = entry
         self._contacts.keep_only(frozenset(view.entry_by_id))
         self._forget_entries()
@@ -309,7 +312,7 @@
         return True
 
     def _changes(self, now: float, key_map: KeyMap) -> Iterator[WriteMap]:
-        changed = plan(self._settled(now, key_map), self._holders(now, key_map.service))
+        changed = plan(self._settled(now, key_map), self._holders(now, key_map))
         if changed.ranges == key_map.ranges:
             return
         self._writing.add(key_map.service)
@@ -336,10 +339,22 @@
                 ranges.append(item)
         return replace(key_map, last_fence=last_fence, ranges=tuple(merged(ranges)))
 
-    def _holders(self, now: float, service: str) -> list[Holder]:
-        usable = self._view.usable_by_service.get(service, ())
+    def _holders(self, now: float, key_map: KeyMap) -> list[Holder]:
+        """Return the targets that may hold keys.
+
+        A cold target gets no more keys while others are warm, because it tolerates few requests.
+        """
+        usable = self._view.usable_by_service.get(key_map.service, ())
         reachable = self._contacts.reachable(now, (entry.life for entry in usable))
-        return [Holder(entry.life, entry.slots) for entry in usable if entry.life in reachable]
+        named = {item.holder for item in key_map.ranges}
+        found = [entry for entry in usable if entry.life in reachable]
+        ready = [
+            entry for entry in found if entry.life in named or not self._is_cold(now, entry.life)
+        ]
+        return [Holder(entry.life, entry.slots) for entry in ready or found]
+
+    def _is_cold(self, now: float, life: Life) -> bool:
+        return now < self._cold_until_by_life.get(life, float("-inf"))
 
     def _forget_entries(self) -> None:
         """Drop entries of targets that are neither listed nor named in a map."""
@@ -354,3 +369,8 @@
             for life, entry in self._entry_by_life.items()
             if life in named or life[0] in self._view.entry_by_id
         }
+        self._cold_until_by_life = {
+            life: until
+            for life, until in self._cold_until_by_life.items()
+            if life in self._entry_by_life
+        }
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -1,13 +1,13 @@
 """Task that keeps the keys granted: runs the decisions and hands out their orders."""
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from zlib import crc32
 
 from loguru import logger
 
-from damasktide.dispatch.cold_start import InstanceCounts
+from damasktide.dispatch.cold_start import Instances
 from damasktide.keyspace.codec import (
     MalformedRowError,
     decode_instance,
@@ -98,7 +98,7 @@
     ) -> None:
         super().__init__("keeper", on_failure)
         self.maps: Published[Mapping[str, KeyMap]] = Published({})
-        self.instances: Published[InstanceCounts] = Published(InstanceCounts())
+        self.instances: Published[Instances] = Published(Instances())
         self._name = instance.name
         self._clock = LeaseClock()
         self._codec = codec
@@ -129,7 +129,7 @@
 
     @handles(TargetsChanged)
     def _targets_changed(self, message: TargetsChanged) -> None:
-        self._keeper.set_targets(message.view)
+        self._keeper.set_targets(self._clock.now(), message.view)
         addresses = {entry.address for entry in message.view.entry_by_id.values()}
         for address in set(self._sender_by_address) - addresses:
             # Releases may still go to a target that is listed no more; see _hand_out.
@@ -213,9 +213,14 @@
     def _publish(self) -> None:
         if self.maps.value != self._keeper.map_by_service:
             self.maps.publish(dict(self._keeper.map_by_service))
-        counts = Counter(self._domain_by_instance.values())
-        if counts != self.instances.value.count_by_domain:
-            self.instances.publish(InstanceCounts(counts))
+        names_by_domain: dict[str, set[str]] = defaultdict(set)
+        for name, domain in self._domain_by_instance.items():
+            names_by_domain[domain].add(name)
+        instances = Instances(
+            {domain: frozenset(names) for domain, names in names_by_domain.items()}
+        )
+        if instances != self.instances.value:
+            self.instances.publish(instances)
             pace = self._pace()
             self._leader_follower.set_pace(pace)
             gap_s = pace.gap_s + pace.wait_s if pace is BYSTANDER_PACE else 0.0
--- a/packages/damasktide/src/damasktide/keyspace/tests/world.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/world.py
@@ -248,7 +248,7 @@
                 self.keeper.map_seen(replace(value, version=version))
         self.keeper.leadership.absent(now)
         self.keeper.table_read(now)
-        self.keeper.set_targets(self._view())
+        self.keeper.set_targets(now, self._view())
         self.keeper.set_confirmed(now)
 
     def _view(self) -> TargetView:
