Pass on what the store says between the instances of a domain

Ruled out: the number of routes itself (decoding takes milliseconds).

Change: instances of a failure domain form a tree by the width of their links; the root asks the store, the others ask their parent over the authenticated links of the peering slice, which answers when there is news, with the age of its own last answer. News older than 1.2 s is refused and the store is asked at once. A machine that the store turns away hears from another. Check-ins that change nothing else are no news. The key of the links is a row of the store. A link waits for its reader before it closes its stream.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -16,7 +16,14 @@
 from damasktide.http1.caller_connection import CallerLimits
 from damasktide.http1.listener import Listener
 from damasktide.http1.pool import ConnectionPool
-from damasktide.keyspace.keeper_task import KeeperTask, KeyedServices, Resign, TargetsChanged
+from damasktide.keyspace.keeper import HOLD_S
+from damasktide.keyspace.keeper_task import (
+    KeeperTask,
+    KeyedServices,
+    Members,
+    Resign,
+    TargetsChanged,
+)
 from damasktide.keyspace.order_sender import OrderCodec
 from damasktide.keyspace.table import InstanceRecord
 from damasktide.lifecycle.state import Lifecycle, LifecycleSnapshot, Phase
@@ -27,10 +34,15 @@
     RequestFinished,
     RequestStarted,
 )
+from damasktide.relay.exchange import RelayExchange, RelayGroup
+from damasktide.relay.relayed_store import RelayedStore
+from damasktide.relay.server import NewsServer
+from damasktide.relay.tree import RelayPeer
 from damasktide.routing.configuration import RoutingConfiguration
 from damasktide.routing.task import RoutingTask, StatementDecoder
+from damasktide.rows.snapshot import TableSnapshot
 from damasktide.rows.store import RowStore
-from damasktide.runtime.clock import MonotonicClock
+from damasktide.runtime.clock import LeaseClock, MonotonicClock
 from damasktide.runtime.published import Published
 from damasktide.settings.gateway import GatewaySettings
 from damasktide.targets.target import TargetView
@@ -89,7 +101,14 @@
     def __init__(self, settings: GatewaySettings, adapter: PlatformAdapter) -> None:
         self._settings = settings
         boot = f"{time():.6f}"
-        record = InstanceRecord(settings.instance, boot, settings.domain)
+        listen = settings.peer_listen
+        record = InstanceRecord(
+            settings.instance,
+            boot,
+            settings.domain,
+            (listen.host, listen.port) if listen is not None else None,
+            settings.link_mbps,
+        )
         registry = CollectorRegistry()
         self._state: Published[LifecycleSnapshot] = Published(LifecycleSnapshot())
         longest_s = settings.stop_grace_s - SERVE_AFTER_DRAIN_S - STOP_MARGIN_S
@@ -98,8 +117,15 @@
             lifecycle, MonotonicClock(), self._state, (self._phase_changed,)
         )
         fail = self._lifecycle.tell
+        self._snapshots: dict[str, Published[TableSnapshot | None]] = {}
+        self._exchange: RelayExchange | None = None
+        if listen is not None:
+            news = NewsServer(
+                self._snapshots, lambda: self._targets.follower.outages, LeaseClock()
+            )
+            self._exchange = RelayExchange(settings.instance, boot, listen, news, fail)
         self._targets = TargetTask(
-            adapter.open_store(),
+            self._open_store(adapter),
             adapter.target_table,
             adapter.decode_target,
             self._targets_changed,
@@ -108,19 +134,27 @@
         )
         self._keeper = KeeperTask(
             record,
-            adapter.open_store,
+            lambda: self._open_store(adapter),
             adapter.orders,
             lambda: self._targets.confirmed_at.value,
+            self._members_changed,
+            min(HOLD_S, settings.longest_hold_s),
             fail,
         )
         self._routing = RoutingTask(
-            adapter.open_store(),
+            self._open_store(adapter),
             adapter.operator_table,
             adapter.decode_statement,
             self._configured,
             self._evacuated,
             fail,
         )
+        followers = {
+            adapter.target_table: self._targets.follower,
+            adapter.operator_table: self._routing.follower,
+            **self._keeper.followers,
+        }
+        self._snapshots.update((table, item.snapshot) for table, item in followers.items())
         self._dispatcher = Dispatcher(
             settings.domain, settings.region_by_domain, settings.instance
         )
@@ -145,6 +179,8 @@
         self._targets.start()
         self._routing.start()
         self._keeper.start()
+        if self._exchange is not None:
+            self._exchange.start()
         gevent.spawn(self._mark_ready)
         gevent.spawn(self._keep_house)
         exit_code = self._lifecycle.wait()
@@ -156,6 +192,11 @@
         """Begin a graceful stop."""
         self._lifecycle.tell(BeginDrain(reason))
 
+    def _open_store(self, adapter: PlatformAdapter) -> RowStore:
+        if self._exchange is None:
+            return adapter.open_store()
+        return RelayedStore(adapter.open_store(), self._exchange)
+
     def _parts(self, adapter: PlatformAdapter, registry: CollectorRegistry) -> GatewayParts:
         return GatewayParts(
             adapter.dialect,
@@ -194,6 +235,16 @@
         self._dispatcher.set_targets(monotonic(), view)
         self._keeper.tell(TargetsChanged(view))
 
+    def _members_changed(self, members: Members) -> None:
+        if self._exchange is None or members.link_key is None:
+            return
+        peers = tuple(
+            RelayPeer(record.name, record.address, record.link_mbps)
+            for record in members.record_by_name.values()
+            if record.domain == self._settings.domain and record.address is not None
+        )
+        self._exchange.tell(RelayGroup(members.link_key, peers))
+
     def _store_lost(self) -> None:
         self._routing.store_lost()
         self._keeper.store_lost()
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -57,7 +57,13 @@
 
 def encode_instance(record: InstanceRecord) -> bytes:
     """Return the row of an instance."""
-    return json.dumps({"boot": record.boot, "domain": record.domain}).encode()
+    document = {
+        "boot": record.boot,
+        "domain": record.domain,
+        "address": record.address,
+        "link_mbps": record.link_mbps,
+    }
+    return json.dumps(document).encode()
 
 
 def decode_instance(name: str, value: bytes) -> InstanceRecord:
@@ -70,7 +76,14 @@
     """
     with _reading(f"instance {name}"):
         document = json.loads(value)
-        return InstanceRecord(name, str(document["boot"]), str(document["domain"]))
+        address = document.get("address")
+        return InstanceRecord(
+            name,
+            str(document["boot"]),
+            str(document["domain"]),
+            (str(address[0]), int(address[1])) if address else None,
+            float(document.get("link_mbps") or 0.0),
+        )
 
 
 @contextmanager
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -1,9 +1,8 @@
 """Task that keeps the keys granted: runs the decisions and hands out their orders."""
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
-from zlib import crc32
 
 from loguru import logger
 
@@ -14,7 +13,7 @@
     decode_leader,
     decode_map,
 )
-from damasktide.keyspace.keeper import Keeper
+from damasktide.keyspace.keeper import HOLD_S, Keeper
 from damasktide.keyspace.key_map import KeyMap
 from damasktide.keyspace.leadership import Leadership
 from damasktide.keyspace.messages import (
@@ -27,6 +26,7 @@
     RegisterInstance,
     Release,
     ReleaseEnded,
+    WriteLinkKey,
 )
 from damasktide.keyspace.order_sender import OrderCodec, OrderSender
 from damasktide.keyspace.store_writer import StoreWriter
@@ -34,11 +34,14 @@
     INSTANCE_PREFIX,
     LEADER_KEY,
     LEADER_TABLE,
+    LINK_KEY,
     MAP_PREFIX,
     TABLE,
     InstanceRecord,
 )
+from damasktide.relay.tree import RelayPeer, relay_order
 from damasktide.rows.follower import FollowPace, TableChanged, TableFollower, TableRead
+from damasktide.rows.snapshot import each_write
 from damasktide.rows.store import Row, RowStore
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
@@ -47,9 +50,13 @@
 
 TICK_S = 0.1
 # Instances that notice the loss of the leader at once; the others do some seconds later.
-STANDBYS = 3
+STANDBYS = 4
 STANDBY_PACE = FollowPace(gap_s=0.25, wait_s=1.0)
-BYSTANDER_PACE = FollowPace(gap_s=4.0, wait_s=1.0)
+BYSTANDER_PACE = FollowPace(gap_s=4.0, wait_s=1.0, relayed_gap_s=2.0)
+# A change of the leader's row goes unseen by a bystander for at most this time: a gap of the
+# instance that passes it on, one of its own, and the waits of both calls.
+BYSTANDER_GAP_S = 8.0
+LINK_KEY_RETRY_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +73,22 @@
     names: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class Members:
+    """The registered instances.
+
+    Attributes
+    ----------
+    record_by_name
+        Instances by the name of their machine.
+    link_key
+        Key of the links between them, or None if there is none yet.
+    """
+
+    record_by_name: Mapping[str, InstanceRecord]
+    link_key: bytes | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Resign:
     """The instance is about to stop."""
@@ -84,6 +107,10 @@
         Writes and reads orders to targets.
     confirmed_at
         Returns when the store was asked for its last answer about targets, on the lease clock.
+    on_members
+        Called with the registered instances when they change.
+    hold_s
+        Time for which a grant holds.
     on_failure
         See :class:`damasktide.runtime.task.Task`.
     """
@@ -94,6 +121,8 @@
         open_store: Callable[[], RowStore],
         codec: OrderCodec,
         confirmed_at: Callable[[], float],
+        on_members: Callable[[Members], None] = lambda members: None,
+        hold_s: float = HOLD_S,
         on_failure: Callable[[TaskFailed], None] | None = None,
     ) -> None:
         super().__init__("keeper", on_failure)
@@ -103,12 +132,18 @@
         self._clock = LeaseClock()
         self._codec = codec
         self._confirmed_at = confirmed_at
-        self._keeper = Keeper(Leadership(instance.name, instance.boot))
+        self._on_members = on_members
+        self._keeper = Keeper(Leadership(instance.name, instance.boot), hold_s)
         self._writer = StoreWriter(open_store(), instance, self.tell)
         self._follower = TableFollower(open_store(), TABLE, self.tell)
-        self._leader_follower = TableFollower(open_store(), LEADER_TABLE, self.tell, STANDBY_PACE)
+        self._leader_follower = TableFollower(
+            open_store(), LEADER_TABLE, self.tell, STANDBY_PACE, essence=each_write
+        )
         self._sender_by_address: dict[tuple[str, int], OrderSender] = {}
-        self._domain_by_instance: dict[str, str] = {}
+        self._members = Members({})
+        self._record_by_name: dict[str, InstanceRecord] = {}
+        self._link_key: bytes | None = None
+        self._has_read = False
 
     def on_start(self) -> None:
         """Register the instance and follow the table."""
@@ -117,6 +152,11 @@
         self._follower.start()
         self._leader_follower.start()
 
+    @property
+    def followers(self) -> Mapping[str, TableFollower]:
+        """The followers of this task by table."""
+        return {TABLE: self._follower, LEADER_TABLE: self._leader_follower}
+
     def store_lost(self) -> None:
         """Ask the store anew, because another call to it has found it gone."""
         self._follower.interrupt()
@@ -127,6 +167,11 @@
         for order in self._keeper.orders(self._clock.now()):
             self._hand_out(order)
 
+    @every(LINK_KEY_RETRY_S)
+    def _provide_link_key(self) -> None:
+        if self._has_read and self._link_key is None and self._keeper.leadership.is_leader:
+            self._writer.tell(WriteLinkKey())
+
     @handles(TargetsChanged)
     def _targets_changed(self, message: TargetsChanged) -> None:
         self._keeper.set_targets(self._clock.now(), message.view)
@@ -147,6 +192,7 @@
             self._keeper.leadership.absent(self._clock.now())
             return
         self._keeper.table_read(message.asked_at)
+        self._has_read = True
         self._publish()
 
     @handles(TableChanged)
@@ -194,6 +240,8 @@
             self._take_instance(row)
         elif row.is_dropped:
             logger.bind(row=row.key).warning("row was dropped")
+        elif row.key == LINK_KEY:
+            self._link_key = row.value
         elif row.key == LEADER_KEY:
             record = decode_leader(row.version, row.value)
             self._keeper.leader_seen(self._clock.now(), record)
@@ -204,33 +252,49 @@
     def _take_instance(self, row: Row) -> None:
         name = row.key.removeprefix(INSTANCE_PREFIX)
         if row.is_dropped:
-            self._domain_by_instance.pop(name, None)
+            self._record_by_name.pop(name, None)
             return
         record = decode_instance(name, row.value)
-        self._domain_by_instance[name] = record.domain
+        self._record_by_name[name] = record
         self._keeper.leadership.ended(self._clock.now(), name, record.boot)
 
     def _publish(self) -> None:
         if self.maps.value != self._keeper.map_by_service:
             self.maps.publish(dict(self._keeper.map_by_service))
+        members = Members(dict(self._record_by_name), self._link_key)
+        if members != self._members:
+            self._members = members
+            self._publish_members()
+
+    def _publish_members(self) -> None:
         names_by_domain: dict[str, set[str]] = defaultdict(set)
-        for name, domain in self._domain_by_instance.items():
-            names_by_domain[domain].add(name)
-        instances = Instances(
-            {domain: frozenset(names) for domain, names in names_by_domain.items()}
+        for record in self._record_by_name.values():
+            names_by_domain[record.domain].add(record.name)
+        self.instances.publish(
+            Instances({domain: frozenset(names) for domain, names in names_by_domain.items()})
         )
-        if instances != self.instances.value:
-            self.instances.publish(instances)
-            pace = self._pace()
-            self._leader_follower.set_pace(pace)
-            gap_s = pace.gap_s + pace.wait_s if pace is BYSTANDER_PACE else 0.0
-            self._keeper.leadership.set_observation_gap(gap_s)
-
-    def _pace(self) -> FollowPace:
-        """Return how closely this instance follows the leader: few stand by to take over."""
-        names = sorted(self._domain_by_instance, key=lambda name: crc32(name.encode()))
-        is_standby = self._name in names[:STANDBYS] or self._name not in names
-        return STANDBY_PACE if is_standby else BYSTANDER_PACE
+        is_standby = self._name in self._standbys() or self._name not in self._record_by_name
+        self._leader_follower.set_pace(STANDBY_PACE if is_standby else BYSTANDER_PACE)
+        gap_s = 0.0 if is_standby else BYSTANDER_GAP_S
+        self._keeper.leadership.set_observation_gap(gap_s)
+        self._on_members(self._members)
+
+    def _standbys(self) -> list[str]:
+        """Return the instances that follow the leader closely.
+
+        They are the roots of the trees in which news is passed on, which ask the store anyway.
+        """
+        return sorted(self._roots())[:STANDBYS]
+
+    def _roots(self) -> Iterator[str]:
+        peers_by_domain: dict[str, list[RelayPeer]] = defaultdict(list)
+        for record in self._record_by_name.values():
+            address = record.address or ("", 0)
+            peers_by_domain[record.domain].append(
+                RelayPeer(record.name, address, record.link_mbps)
+            )
+        for peers in peers_by_domain.values():
+            yield relay_order(peers)[0].name
 
     def _hand_out(self, order: Order) -> None:
         if isinstance(order, Grant | Release):
--- a/packages/damasktide/src/damasktide/keyspace/messages.py
+++ b/packages/damasktide/src/damasktide/keyspace/messages.py
@@ -200,6 +200,11 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WriteLinkKey:
+    """Writes the key of the links between instances, unless there is one."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadMaps:
     """Reads all maps, because an earlier leader may have written them a moment ago."""
--- a/packages/damasktide/src/damasktide/keyspace/store_writer.py
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -1,6 +1,7 @@
 """Writes the rows of this slice; owns its connection to the store."""
 
 from collections.abc import Callable
+from secrets import token_bytes
 
 from loguru import logger
 
@@ -11,12 +12,14 @@
     MapWritten,
     RegisterInstance,
     WriteLeader,
+    WriteLinkKey,
     WriteMap,
     WriteResult,
 )
 from damasktide.keyspace.table import (
     LEADER_KEY,
     LEADER_TABLE,
+    LINK_KEY,
     TABLE,
     InstanceRecord,
     instance_key,
@@ -34,6 +37,7 @@
 
 # Pause before the row of this instance is written again after a failure.
 REGISTER_RETRY_S = 0.5
+LINK_KEY_BYTES = 32
 
 
 class StoreWriter(Task):
@@ -89,6 +93,11 @@
         if result is not WriteResult.WRITTEN and not message.is_leaving:
             self.tell_later(message, REGISTER_RETRY_S)
 
+    @handles(WriteLinkKey)
+    def _write_link_key(self, message: WriteLinkKey) -> None:
+        row = RowWrite(TABLE, LINK_KEY, token_bytes(LINK_KEY_BYTES))
+        self._write(row, (ExpectedRow(TABLE, LINK_KEY, 0),))
+
     def _write(self, row: RowWrite, expected: tuple[ExpectedRow, ...]) -> tuple[WriteResult, int]:
         try:
             return WriteResult.WRITTEN, self._store.write((row,), expected)
--- a/packages/damasktide/src/damasktide/keyspace/table.py
+++ b/packages/damasktide/src/damasktide/keyspace/table.py
@@ -8,6 +8,8 @@
 LEADER_KEY = "leader"
 MAP_PREFIX = "map/"
 INSTANCE_PREFIX = "instance/"
+# Holds the key by which instances know each other's messages.
+LINK_KEY = "link-key"
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,11 +24,17 @@
         Id of the process.
     domain
         Its failure domain.
+    address
+        Host and port for calls of other instances, or None.
+    link_mbps
+        Bandwidth of its link in Mbit/s.
     """
 
     name: str
     boot: str
     domain: str
+    address: tuple[str, int] | None = None
+    link_mbps: float = 0.0
 
 
 def map_key(service: str) -> str:
--- a/packages/damasktide/src/damasktide/peering/links.py
+++ b/packages/damasktide/src/damasktide/peering/links.py
@@ -10,6 +10,7 @@
 from damasktide.runtime.task import Stop, Task
 
 WRITE_TIMEOUT_S = 5.0
+READER_END_TIMEOUT_S = 1.0
 
 
 class PeerLink(Task):
@@ -48,7 +49,8 @@
         """Close the connection."""
         self.is_closed = True
         if self._reader is not None:
-            self._reader.kill(block=False)
+            # The stream cannot be closed while the reader is inside a read of it.
+            self._reader.kill(timeout=READER_END_TIMEOUT_S)
         if self._stream is not None:
             self._stream.close()
 
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -0,0 +1,116 @@
+"""Task that owns the links to the other instances of the failure domain."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from time import monotonic
+
+from loguru import logger
+from returns.result import Failure
+
+from damasktide.peering.client import PeerClient
+from damasktide.peering.server import CallHandler, PeerServer
+from damasktide.relay.codec import MalformedNewsError, decode_news, encode_wanted
+from damasktide.relay.messages import News, NewsRefused, NewsWanted
+from damasktide.relay.server import NEWS_KIND, NewsServer
+from damasktide.relay.sources import RelaySource, RelaySources
+from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.runtime.registry import Registry
+from damasktide.runtime.task import Task, TaskFailed, handles
+from damasktide.settings.model import Address
+
+# Time for which an answer may be late beyond the wait that was asked for.
+ANSWER_MARGIN_S = 0.35
+
+
+@dataclass(frozen=True, slots=True)
+class RelayGroup:
+    """The instances of this failure domain.
+
+    Attributes
+    ----------
+    key
+        Key that all instances share; without one no links are made.
+    peers
+        The instances that can be called.
+    """
+
+    key: bytes
+    peers: tuple[RelayPeer, ...]
+
+
+class RelayExchange(Task):
+    """Owns the server and the client of the links, and the choice of whom to ask.
+
+    The followers of the tables call :meth:`ask_peer` in their own greenlets.
+
+    Parameters
+    ----------
+    name, boot
+        Name of this instance and id of its process.
+    listen
+        Address for calls of other instances.
+    news
+        Answers them.
+    on_failure
+        See :class:`damasktide.runtime.task.Task`.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        boot: str,
+        listen: Address,
+        news: NewsServer,
+        on_failure: Callable[[TaskFailed], None] | None = None,
+    ) -> None:
+        super().__init__("relay", on_failure)
+        self.sources = RelaySources(name)
+        self._own_id = f"{name}#{boot}"
+        self._listen = listen
+        self._handlers: Registry[str, CallHandler] = Registry("peer call")
+        self._handlers.register(NEWS_KIND)(news.serve)
+        self._server: PeerServer | None = None
+        self._client: PeerClient | None = None
+
+    def ask_peer(self, source: RelaySource, table: str, after: int, wait_s: float) -> News:
+        """Ask another instance what changed in a table; refused if it does not answer."""
+        if self._client is None:
+            return NewsRefused("no links yet")
+        peer = source.peer
+        wanted = encode_wanted(NewsWanted(table, after, wait_s, source.max_age_s))
+        timeout_s = wait_s + ANSWER_MARGIN_S
+        result = self._client.call(*peer.address, NEWS_KIND, wanted, timeout_s)
+        if isinstance(result, Failure):
+            self._failed(peer, result.failure().reason)
+            return NewsRefused("no answer")
+        try:
+            return decode_news(result.unwrap())
+        except MalformedNewsError as error:
+            self._failed(peer, str(error))
+            return NewsRefused("malformed")
+
+    def on_stop(self) -> None:
+        """Close all links."""
+        if self._server is not None:
+            self._server.stop()
+        if self._client is not None:
+            self._client.stop()
+
+    @handles(RelayGroup)
+    def _group_changed(self, group: RelayGroup) -> None:
+        if self._server is None:
+            self._server = PeerServer(
+                self._own_id, self._listen.host, self._listen.port, group.key, self._handlers
+            )
+            self._server.start()
+            self._client = PeerClient(self._own_id, group.key)
+            self._client.start()
+        self.sources.set_order(relay_order(group.peers))
+        source = self.sources.source(monotonic())
+        logger.bind(
+            peers=len(group.peers), asks=source.peer.name if source is not None else "the store"
+        ).info("instances of the failure domain changed")
+
+    def _failed(self, peer: RelayPeer, reason: str) -> None:
+        self.sources.peer_failed(monotonic(), peer.name)
+        logger.bind(peer=peer.name, detail=reason).info("an instance passes on no news")
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -0,0 +1,30 @@
+@0xc3b1d0a5e7f24c19;
+
+struct NewsWanted {
+  # What changed in a table after a version?
+  table @0 :Text;
+  after @1 :UInt64;
+  waitS @2 :Float64;
+  maxAgeS @3 :Float64;
+}
+
+struct News {
+  union {
+    refused @0 :Text;
+    changes @1 :Changes;
+  }
+}
+
+struct Changes {
+  version @0 :UInt64;
+  ageS @1 :Float64;
+  outages @2 :UInt32;
+  rows @3 :List(Row);
+}
+
+struct Row {
+  key @0 :Text;
+  value @1 :Data;
+  version @2 :UInt64;
+  isDropped @3 :Bool;
+}
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -0,0 +1,59 @@
+"""Messages between instances about the tables of the store."""
+
+from dataclasses import dataclass
+
+from damasktide.rows.store import Row
+
+
+@dataclass(frozen=True, slots=True)
+class NewsWanted:
+    """Asks what changed in a table.
+
+    Attributes
+    ----------
+    table
+        Name of the table.
+    after
+        Version of the store up to which the asker knows the table.
+    wait_s
+        Longest time to wait for a change, in seconds.
+    max_age_s
+        Greatest age of the store's last answer that the asker accepts, in seconds.
+    """
+
+    table: str
+    after: int
+    wait_s: float
+    max_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedChanges:
+    """What changed in a table.
+
+    Attributes
+    ----------
+    rows
+        Changed rows, in the order of change.
+    version
+        Version of the store up to which they are complete.
+    age_s
+        Age of the store's last answer about the table, in seconds.
+    outages
+        How often the answering process has lost the store.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    age_s: float
+    outages: int
+
+
+@dataclass(frozen=True, slots=True)
+class NewsRefused:
+    """The asked instance knows no better than the asker."""
+
+    reason: str
+
+
+News = RelayedChanges | NewsRefused
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -0,0 +1,108 @@
+"""Client of the store that asks another instance first."""
+
+from collections.abc import Callable, Sequence
+from time import monotonic
+from typing import TypeVar
+
+from damasktide.relay.exchange import RelayExchange
+from damasktide.relay.messages import NewsRefused, RelayedChanges
+from damasktide.relay.sources import RelaySource
+from damasktide.rows.store import (
+    Changes,
+    ExpectedRow,
+    RowStore,
+    RowWrite,
+    StoreUnavailableError,
+    TableState,
+)
+
+T = TypeVar("T")
+
+# A source that fell silent is noticed after this wait and the margin of the answer.
+LONGEST_RELAY_WAIT_S = 1.0
+
+
+class RelayedStore:
+    """Asks another instance for changes, and the store where that has none.
+
+    Complete reads and writes always go to the store.
+
+    Parameters
+    ----------
+    store
+        Client of the store.
+    exchange
+        Links to other instances.
+    """
+
+    def __init__(self, store: RowStore, exchange: RelayExchange) -> None:
+        self._store = store
+        self._exchange = exchange
+        self._outages_by_peer: dict[str, int] = {}
+        self._is_interrupted = False
+
+    def read_table(self, table: str) -> TableState:
+        """See :meth:`damasktide.rows.store.RowStore.read_table`."""
+        return self._asked(lambda: self._store.read_table(table))
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """See :meth:`damasktide.rows.store.RowStore.wait_for_changes`."""
+        source = self._exchange.sources.source(monotonic())
+        if source is not None:
+            found = self._relayed(source, table, after, wait_s)
+            if found is not None:
+                return found
+        try:
+            return self._asked(lambda: self._store.wait_for_changes(table, after, wait_s))
+        except StoreUnavailableError:
+            if source is None:
+                for substitute in self._exchange.sources.substitutes(monotonic()):
+                    found = self._relayed(substitute, table, after, 0.0)
+                    if found is not None:
+                        return found
+            raise
+
+    def interrupt(self) -> None:
+        """See :meth:`damasktide.rows.store.RowStore.interrupt`."""
+        self._is_interrupted = True
+        self._store.interrupt()
+
+    def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
+        """See :meth:`damasktide.rows.store.RowStore.write`."""
+        return self._store.write(writes, expected)
+
+    def _asked(self, call: Callable[[], T]) -> T:
+        """Call the store and note whether it answered."""
+        sources = self._exchange.sources
+        if not sources.may_ask_store(monotonic()):
+            raise StoreUnavailableError("the store was lost a moment ago", is_certain=True)
+        self._is_interrupted = False
+        try:
+            answer = call()
+        except StoreUnavailableError:
+            if not self._is_interrupted:
+                sources.store_failed(monotonic())
+            raise
+        sources.store_answered()
+        return answer
+
+    def _relayed(
+        self, source: RelaySource, table: str, after: int, wait_s: float
+    ) -> Changes | None:
+        news = self._exchange.ask_peer(source, table, after, min(wait_s, LONGEST_RELAY_WAIT_S))
+        if isinstance(news, NewsRefused):
+            return None
+        name = source.peer.name
+        self._exchange.sources.peer_answered(name)
+        self._check_outages(name, news)
+        return Changes(news.rows, news.version, news.age_s)
+
+    def _check_outages(self, name: str, news: RelayedChanges) -> None:
+        """Fail once if the answering instance has lost the store since its last answer.
+
+        The reader then treats entries that lapse as it does after an outage of its own.
+        """
+        before = self._outages_by_peer.get(name, news.outages)
+        self._outages_by_peer[name] = news.outages
+        if before != news.outages:
+            raise StoreUnavailableError(f"{name} had lost the store", is_certain=True)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -0,0 +1,70 @@
+"""Answers other instances from the snapshots of this one."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from loguru import logger
+
+from damasktide.relay.codec import MalformedNewsError, decode_wanted, encode_news
+from damasktide.relay.messages import News, NewsRefused, NewsWanted, RelayedChanges
+from damasktide.rows.snapshot import TableSnapshot, latest_asked_at
+from damasktide.runtime.clock import Clock
+from damasktide.runtime.published import Published
+
+# Kind of the calls in which another instance asks for news.
+NEWS_KIND = "relay-news"
+# Bound on the wait that a peer may ask for.
+LONGEST_WAIT_S = 5.0
+
+Snapshots = Mapping[str, Published[TableSnapshot | None]]
+
+
+class NewsServer:
+    """Answers questions for news; each call runs in its own greenlet.
+
+    Parameters
+    ----------
+    snapshots
+        Snapshot of each table.
+    outages
+        Returns how often this process has lost the store.
+    clock
+        Lease clock.
+    """
+
+    def __init__(self, snapshots: Snapshots, outages: Callable[[], int], clock: Clock) -> None:
+        self._snapshots = snapshots
+        self._outages = outages
+        self._clock = clock
+
+    def serve(self, sender_id: str, body: bytes) -> bytes:
+        """Return the encoded answer to an encoded question."""
+        try:
+            wanted = decode_wanted(body)
+        except MalformedNewsError as error:
+            logger.bind(peer=sender_id).warning("question for news cannot be read: {}", error)
+            return encode_news(NewsRefused("malformed"))
+        return encode_news(self.answer(wanted))
+
+    def answer(self, wanted: NewsWanted) -> News:
+        """Return what changed, at once or when something does."""
+        published = self._snapshots.get(wanted.table)
+        if published is None:
+            return NewsRefused("unknown table")
+        until = self._clock.now() + min(wanted.wait_s, LONGEST_WAIT_S)
+        while True:
+            snapshot = published.value
+            if snapshot is None:
+                return NewsRefused("not read yet")
+            if wanted.after < snapshot.complete_since:
+                return NewsRefused("changes are no longer known")
+            now = self._clock.now()
+            if now - latest_asked_at(self._all()) > wanted.max_age_s:
+                return NewsRefused("no fresh answer of the store")
+            rows = snapshot.rows_after(wanted.after)
+            if rows or now >= until:
+                age_s = max(0.0, now - snapshot.asked_at)
+                return RelayedChanges(rows, snapshot.version, age_s, self._outages())
+            published.wait_beyond(snapshot, until - now)
+
+    def _all(self) -> Iterable[TableSnapshot | None]:
+        return (published.value for published in self._snapshots.values())
--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -0,0 +1,178 @@
+"""Changes heard from another instance: staleness, outages and silence, without network."""
+
+import unittest
+from collections.abc import Sequence
+
+import gevent
+
+from damasktide.relay.codec import (
+    MalformedNewsError,
+    decode_news,
+    decode_wanted,
+    encode_news,
+    encode_wanted,
+)
+from damasktide.relay.messages import News, NewsRefused, NewsWanted, RelayedChanges
+from damasktide.relay.relayed_store import RelayedStore
+from damasktide.relay.server import NewsServer
+from damasktide.relay.sources import RelaySource, RelaySources
+from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.rows.snapshot import TableSnapshot, whole_value
+from damasktide.rows.store import (
+    Changes,
+    ExpectedRow,
+    Row,
+    RowWrite,
+    StoreUnavailableError,
+    TableState,
+)
+from damasktide.runtime.clock import ManualClock
+from damasktide.runtime.published import Published
+
+TABLE = "op"
+ORDER = relay_order(RelayPeer(f"i{n}", ("10.0.0.1", n), 100.0) for n in range(3))
+ROOT, OTHER = ORDER[0].name, ORDER[2].name
+
+
+class FakeStore:
+    """A store that answers or not, and counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.is_down = False
+
+    def read_table(self, table: str) -> TableState:
+        self._call()
+        return TableState((), 1)
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        self._call()
+        return Changes((), after)
+
+    def interrupt(self) -> None:
+        raise AssertionError("no call waits")
+
+    def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
+        self._call()
+        return 1
+
+    def _call(self) -> None:
+        self.calls += 1
+        if self.is_down:
+            raise StoreUnavailableError("down")
+
+
+class FakeExchange:
+    """Answers with prepared news instead of calling another instance."""
+
+    def __init__(self, name: str, news: News) -> None:
+        self.sources = RelaySources(name)
+        self.sources.set_order(ORDER)
+        self.news = news
+        self.asked: list[str] = []
+
+    def ask_peer(self, source: RelaySource, table: str, after: int, wait_s: float) -> News:
+        self.asked.append(source.peer.name)
+        return self.news
+
+
+def changes(version: int = 9, outages: int = 0) -> RelayedChanges:
+    return RelayedChanges((Row("config", b"new", version),), version, 0.4, outages)
+
+
+class TestRelayedStore(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = FakeStore()
+
+    def client(self, name: str, news: News) -> tuple[RelayedStore, FakeExchange]:
+        exchange = FakeExchange(name, news)
+        return RelayedStore(self.store, exchange), exchange  # type: ignore[arg-type]
+
+    def test_news_of_another_instance_costs_no_call_to_the_store(self) -> None:
+        client, _ = self.client(OTHER, changes())
+        found = client.wait_for_changes(TABLE, 5, 1.0)
+        self.assertEqual((found.version, found.relayed_age_s), (9, 0.4))
+        self.assertEqual(self.store.calls, 0)
+
+    def test_store_is_asked_at_once_when_the_other_instance_knows_nothing_fresh(self) -> None:
+        """Guards against an instance that stays behind because its source is cut off."""
+        client, _ = self.client(OTHER, NewsRefused("no fresh answer of the store"))
+        self.assertIsNone(client.wait_for_changes(TABLE, 5, 1.0).relayed_age_s)
+        self.assertEqual(self.store.calls, 1)
+
+    def test_outage_is_asked_after_by_few(self) -> None:
+        """Guards against each follower of each instance calling a store that is down."""
+        self.store.is_down = True
+        client, _ = self.client(OTHER, NewsRefused("no fresh answer of the store"))
+        for _ in range(5):
+            with self.assertRaises(StoreUnavailableError):
+                client.wait_for_changes(TABLE, 5, 1.0)
+        self.assertEqual(self.store.calls, 1)
+
+    def test_machine_that_the_store_turns_away_hears_from_another(self) -> None:
+        self.store.is_down = True
+        client, exchange = self.client(ROOT, changes())
+        self.assertEqual(client.wait_for_changes(TABLE, 5, 1.0).version, 9)
+        self.assertEqual(exchange.asked, [ORDER[1].name])
+
+    def test_outage_seen_by_the_other_instance_counts_as_one_here(self) -> None:
+        """Guards against dropping targets whose entries lapsed while the store was away."""
+        client, exchange = self.client(OTHER, changes())
+        client.wait_for_changes(TABLE, 5, 1.0)
+        exchange.news = changes(12, outages=1)
+        with self.assertRaises(StoreUnavailableError):
+            client.wait_for_changes(TABLE, 9, 1.0)
+        self.assertEqual(client.wait_for_changes(TABLE, 9, 1.0).version, 12)
+
+
+class TestNewsServer(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        state = TableState((Row("config", b"old", 4),), 6)
+        self.table: Published[TableSnapshot | None] = Published(
+            TableSnapshot.of(state, 99.8, whole_value)
+        )
+        self.server = NewsServer({TABLE: self.table}, lambda: 2, self.clock)
+
+    def ask(self, after: int, wait_s: float = 0.0, table: str = TABLE) -> News:
+        return self.server.answer(NewsWanted(table, after, wait_s, 1.2))
+
+    def test_tells_what_changed_with_its_age(self) -> None:
+        self.table.publish(TableSnapshot.of(TableState((), 3), 99.8, whole_value))
+        found = self.ask(3)
+        assert isinstance(found, RelayedChanges)
+        self.assertAlmostEqual(found.age_s, 0.2)
+        self.assertEqual(found.outages, 2)
+
+    def test_stale_snapshot_is_refused(self) -> None:
+        """Guards against passing on an old configuration after losing the store."""
+        self.clock.advance(1.5)
+        self.assertIsInstance(self.ask(6), NewsRefused)
+
+    def test_reader_too_far_behind_is_refused(self) -> None:
+        self.assertIsInstance(self.ask(2), NewsRefused)
+        self.assertIsInstance(self.ask(6, table="unknown"), NewsRefused)
+
+    def test_waiting_call_is_answered_by_a_change(self) -> None:
+        waiting = gevent.spawn(self.ask, 6, 5.0)
+        gevent.sleep(0)
+        known = self.table.value
+        assert known is not None
+        news = Changes((Row("config", b"new", 8),), 8)
+        self.table.publish(known.updated(news, 100.0, whole_value))
+        found = waiting.get(timeout=5.0)
+        self.assertEqual([row.value for row in found.rows], [b"new"])
+
+    def test_messages_keep_what_they_hold(self) -> None:
+        wanted = NewsWanted(TABLE, 7, 0.5, 1.2)
+        self.assertEqual(decode_wanted(encode_wanted(wanted)), wanted)
+        rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
+        for news in (RelayedChanges(rows, 9, 0.25, 1), NewsRefused("why")):
+            self.assertEqual(decode_news(encode_news(news)), news)
+        self.assertLess(len(encode_news(RelayedChanges(rows, 9, 0.25, 1))), 10_000)
+
+    def test_broken_messages_are_rejected(self) -> None:
+        whole = encode_news(NewsRefused("why"))
+        for data in (b"", b"junk", whole[:-3]):
+            with self.assertRaises(MalformedNewsError):
+                decode_news(data)
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -86,6 +86,11 @@
         """Follow the table."""
         self._follower.start()
 
+    @property
+    def follower(self) -> TableFollower:
+        """The follower of the operators' table."""
+        return self._follower
+
     def store_lost(self) -> None:
         """Ask the store anew, because another call to it has found it gone."""
         self._follower.interrupt()
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -5,9 +5,9 @@
 from random import Random
 from time import monotonic
 
-import gevent
 from loguru import logger
 
+from damasktide.rows.snapshot import Essence, TableSnapshot, whole_value
 from damasktide.rows.store import (
     Changes,
     HistoryLostError,
@@ -16,6 +16,7 @@
     TableState,
 )
 from damasktide.runtime.clock import LeaseClock
+from damasktide.runtime.published import Published
 from damasktide.runtime.task import Task
 
 # First and longest pause after a failed call; each failure doubles it.
@@ -34,10 +35,13 @@
     wait_s
         Longest time for which one call waits for a change. A store that went silent is noticed
         after it, so it is short for a table that changes all the time.
+    relayed_gap_s
+        Shortest time between two calls to another instance, which answers when there is news.
     """
 
     gap_s: float
     wait_s: float
+    relayed_gap_s: float = 0.02
 
 
 # While the store is lost, a call that waits may hang in a connection that went silent.
@@ -45,7 +49,7 @@
 # Check-ins of targets change their table many times a second.
 BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=1.0)
 # Changes of operators and of the key maps are rare, and are to be seen at once.
-QUIET_TABLE = FollowPace(gap_s=0.05, wait_s=10.0)
+QUIET_TABLE = FollowPace(gap_s=0.05, wait_s=4.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +102,8 @@
 class TableFollower(Task):
     """Tells another task about a table; owns its connection to the store.
 
+    The snapshot that it publishes is what other instances are told.
+
     Parameters
     ----------
     store
@@ -110,6 +116,8 @@
         How often the table is asked for changes.
     on_contact
         Receives that the store was lost or regained.
+    essence
+        Returns what of a row matters to other instances.
     """
 
     def __init__(
@@ -119,8 +127,11 @@
         notify: Callable[[FollowerMessage], None],
         pace: FollowPace = QUIET_TABLE,
         on_contact: Callable[[ContactMessage], None] = lambda message: None,
+        essence: Essence = whole_value,
     ) -> None:
         super().__init__(f"follow-{table}")
+        self.snapshot: Published[TableSnapshot | None] = Published(None)
+        self._essence = essence
         self._store = store
         self._table = table
         self._notify = notify
@@ -129,6 +140,7 @@
         self._version: int | None = None
         self._pause_s = RETRY_FIRST_S
         self._is_lost = False
+        self.outages = 0
         self._due_at = 0.0
         self._clock = LeaseClock()
         self._random = Random()
@@ -153,10 +165,6 @@
 
     def on_wake(self) -> None:
         """Make the next call."""
-        self._follow()
-        self._due_at = monotonic() + self._pace.gap_s
-
-    def _follow(self) -> None:
         asked_at = self._clock.now()
         try:
             message = self._call(asked_at)
@@ -168,28 +176,44 @@
             self._lose(str(error))
             return
         self._regain()
-        if message is not None:
-            self._notify(message)
+        self._notify(message)
 
-    def _call(self, asked_at: float) -> FollowerMessage | None:
+    def _call(self, asked_at: float) -> FollowerMessage:
         if self._version is None:
-            state = self._store.read_table(self._table)
-            self._version = state.version
-            return TableRead(self._table, state, asked_at)
+            return self._read(asked_at)
         changes = self._store.wait_for_changes(self._table, self._version, self._wait_s())
         if self._version is not None:
             self._version = max(self._version, changes.version)
+        is_relayed = changes.relayed_age_s is not None
+        gap_s = self._pace.relayed_gap_s if is_relayed else self._pace.gap_s
+        self._due_at = monotonic() + gap_s
+        asked_at -= changes.relayed_age_s or 0.0
+        known = self.snapshot.value
+        assert known is not None
+        self.snapshot.publish(known.updated(changes, asked_at, self._essence))
         return TableChanged(self._table, changes, asked_at)
 
+    def _read(self, asked_at: float) -> FollowerMessage:
+        state = self._store.read_table(self._table)
+        self._version = state.version
+        self._due_at = monotonic() + self._pace.gap_s
+        known = self.snapshot.value
+        if known is None:
+            self.snapshot.publish(TableSnapshot.of(state, asked_at, self._essence))
+        else:
+            self.snapshot.publish(known.reread(state, asked_at, self._essence))
+        return TableRead(self._table, state, asked_at)
+
     def _wait_s(self) -> float:
         return min(LOST_WAIT_S, self._pace.wait_s) if self._is_lost else self._pace.wait_s
 
     def _lose(self, detail: str) -> None:
         if not self._is_lost:
             self._is_lost = True
+            self.outages += 1
             logger.bind(table=self._table, detail=detail).warning("lost the store")
             self._on_contact(StoreLost(self._table, detail))
-        gevent.sleep(self._pause_s * self._random.uniform(0.5, 1.0))
+        self._due_at = monotonic() + self._pause_s * self._random.uniform(0.5, 1.0)
         self._pause_s = min(RETRY_LONGEST_S, 2.0 * self._pause_s)
 
     def _regain(self) -> None:
--- /dev/null
+++ b/packages/damasktide/src/damasktide/rows/snapshot.py
@@ -0,0 +1,112 @@
+"""What an instance knows of a table, kept so that it can tell other instances what changed."""
+
+from collections.abc import Callable, Hashable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from damasktide.rows.store import Changes, Row, TableState
+
+# Rows that were dropped are remembered up to this number; a reader that is further behind reads
+# the whole table.
+KEPT_DROPS = 512
+
+# Returns what of a row matters to its readers, or raises nothing; a change of the rest is no news.
+Essence = Callable[[Row], Hashable]
+
+
+def whole_value(row: Row) -> Hashable:
+    """Return all of a row's value, so that each change of it is news."""
+    return row.value
+
+
+def each_write(row: Row) -> Hashable:
+    """Return the row's version, so that each write is news, also one of the same value."""
+    return row.version
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    row: Row
+    essence: Hashable
+    changed_at: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableSnapshot:
+    """Rows of a table as of one version of the store.
+
+    Attributes
+    ----------
+    version
+        Version of the store up to which all changes are included.
+    complete_since
+        Changes after this version can be told; older drops have been forgotten.
+    asked_at
+        Lease clock at which the store was asked for the last answer.
+    known_by_key
+        Rows with the version at which each last changed in essence.
+    drops
+        Dropped rows, oldest first.
+    """
+
+    version: int
+    complete_since: int
+    asked_at: float
+    known_by_key: Mapping[str, _Known] = field(default_factory=dict)
+    drops: tuple[Row, ...] = ()
+
+    @classmethod
+    def of(cls, state: TableState, asked_at: float, essence: Essence) -> "TableSnapshot":
+        """Return the snapshot of a table that was read as a whole."""
+        known = {row.key: _Known(row, essence(row), row.version) for row in state.rows}
+        return cls(state.version, state.version, asked_at, known)
+
+    def reread(self, state: TableState, asked_at: float, essence: Essence) -> "TableSnapshot":
+        """Return the snapshot after another complete read; rows that it lacks were dropped."""
+        listed = {row.key for row in state.rows}
+        missing = tuple(
+            Row(key, b"", state.version, is_dropped=True)
+            for key, item in self.known_by_key.items()
+            if key not in listed and item.row.version < state.version
+        )
+        return self.updated(Changes((*state.rows, *missing), state.version), asked_at, essence)
+
+    def updated(self, changes: Changes, asked_at: float, essence: Essence) -> "TableSnapshot":
+        """Return the snapshot after ``changes``."""
+        asked_at = max(asked_at, self.asked_at)
+        version = max(self.version, changes.version)
+        if not changes.rows:
+            return replace(self, version=version, asked_at=asked_at)
+        known = dict(self.known_by_key)
+        drop_by_key = {row.key: row for row in self.drops}
+        for row in changes.rows:
+            before = known.get(row.key)
+            if before is not None and before.row.version >= row.version:
+                continue
+            known.pop(row.key, None)
+            drop_by_key.pop(row.key, None)
+            if row.is_dropped:
+                drop_by_key[row.key] = row
+                continue
+            found = essence(row)
+            is_news = before is None or before.essence != found
+            changed_at = row.version if before is None or is_news else before.changed_at
+            known[row.key] = _Known(row, found, changed_at)
+        drops = tuple(drop_by_key.values())
+        forgotten, kept = drops[:-KEPT_DROPS], drops[-KEPT_DROPS:]
+        complete_since = max((self.complete_since, *(row.version for row in forgotten)))
+        return TableSnapshot(version, complete_since, asked_at, known, kept)
+
+    def rows_after(self, version: int) -> tuple[Row, ...]:
+        """Return the rows that changed in essence after ``version``, in the order of change."""
+        changed = [
+            (item.changed_at, item.row)
+            for item in self.known_by_key.values()
+            if item.changed_at > version
+        ]
+        changed += [(row.version, row) for row in self.drops if row.version > version]
+        return tuple(row for _, row in sorted(changed, key=lambda item: item[0]))
+
+
+def latest_asked_at(snapshots: Iterable[TableSnapshot | None]) -> float:
+    """Return when the store was last asked for an answer about any table."""
+    return max((item.asked_at for item in snapshots if item is not None), default=float("-inf"))
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -65,10 +65,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changed rows in order, up to a version of the store."""
+    """Changed rows in order, up to a version of the store.
+
+    Attributes
+    ----------
+    rows
+        The rows.
+    version
+        Version of the store up to which the rows are complete.
+    relayed_age_s
+        Age of the answer if another instance passed it on; None if the store itself answered.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    relayed_age_s: float | None = None
 
 
 class StoreUnavailableError(Exception):
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -29,6 +29,10 @@
         Bound on further sends over all instances.
     stop_grace_s
         Time from the request to stop to the end of the process.
+    peer_listen
+        Address for calls of other instances, or None if there is none.
+    link_mbps
+        Bandwidth of the machine's link in Mbit/s.
     longest_hold_s
         Longest time for which keys may be granted.
     log_level
@@ -44,4 +48,6 @@
     retry_limits: RetryLimits = field(default_factory=RetryLimits)
     stop_grace_s: float = 6.0
     longest_hold_s: float = 10.0
+    peer_listen: Address | None = None
+    link_mbps: float = 0.0
     log_level: str = "INFO"
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -1,6 +1,6 @@
 """Task that follows the platform's list of targets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from time import monotonic
 
@@ -75,12 +75,19 @@
         self._on_change = on_change
         self._on_store_lost = on_store_lost
         self._directory = TargetDirectory()
-        self._follower = TableFollower(store, table, self.tell, BUSY_TABLE, self.tell)
+        self._follower = TableFollower(
+            store, table, self.tell, BUSY_TABLE, self.tell, self._essence
+        )
 
     def on_start(self) -> None:
         """Follow the table."""
         self._follower.start()
 
+    @property
+    def follower(self) -> TableFollower:
+        """The follower of the list."""
+        return self._follower
+
     @every(EXPIRY_PERIOD_S)
     def _expire(self) -> None:
         for target_id in self._directory.expire(monotonic()):
@@ -142,6 +149,14 @@
                     cold_s=entry.cold_left_s,
                 ).info("target changed")
 
+    def _essence(self, row: Row) -> Hashable:
+        """Return the entry, so that a check-in that changes nothing else is no news."""
+        try:
+            return self._decode(row)
+        except MalformedEntryError:
+            # The task that reads the row logs what is wrong with it.
+            return row.value
+
     def _publish(self) -> None:
         view = self._directory.view
         if view is not self.view.value:
