--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -4,6 +4,8 @@
 from time import monotonic
 from typing import TypeVar
 
+import gevent
+
 from damasktide.relay.exchange import RelayExchange
 from damasktide.relay.messages import NewsRefused, RelayedChanges
 from damasktide.relay.sources import RelaySource
@@ -18,6 +20,11 @@
 
 T = TypeVar("T")
 
+# A source without fresh news is asked this often before the store is, with this pause, so that
+# not all instances of a domain ask the store at once over a link that is full.
+SOURCE_ATTEMPTS = 4
+SOURCE_RETRY_S = 0.15
+
 # A source that fell silent is noticed after this wait and the margin of the answer.
 LONGEST_RELAY_WAIT_S = 1.0
 
@@ -47,20 +54,16 @@
 
     def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
         """See :meth:`damasktide.rows.store.RowStore.wait_for_changes`."""
-        source = self._exchange.sources.source(monotonic())
-        if source is not None:
-            found = self._relayed(source, table, after, wait_s)
-            if found is not None:
-                return found
+        found = self._news(table, after, wait_s)
+        if found is not None:
+            return found
         try:
             return self._asked(lambda: self._store.wait_for_changes(table, after, wait_s))
         except StoreUnavailableError:
-            if source is None:
-                for substitute in self._exchange.sources.substitutes(monotonic()):
-                    found = self._relayed(substitute, table, after, 0.0)
-                    if found is not None:
-                        return found
-            raise
+            found = self._substitute_news(table, after)
+            if found is None:
+                raise
+            return found
 
     def interrupt(self) -> None:
         """See :meth:`damasktide.rows.store.RowStore.interrupt`."""
@@ -71,6 +74,28 @@
         """See :meth:`damasktide.rows.store.RowStore.write`."""
         return self._store.write(writes, expected)
 
+    def _news(self, table: str, after: int, wait_s: float) -> Changes | None:
+        """Return what another instance knows; a source without fresh news is asked again."""
+        for attempt in range(SOURCE_ATTEMPTS):
+            source = self._exchange.sources.source(monotonic())
+            if source is None:
+                return None
+            found = self._relayed(source, table, after, wait_s)
+            if found is not None:
+                return found
+            if self._exchange.sources.substitute(monotonic()) is None:
+                return None
+            found = self._substitute_news(table, after)
+            if found is not None:
+                return found
+            if attempt + 1 < SOURCE_ATTEMPTS:
+                gevent.sleep(SOURCE_RETRY_S)
+        return None
+
+    def _substitute_news(self, table: str, after: int) -> Changes | None:
+        substitute = self._exchange.sources.substitute(monotonic())
+        return self._relayed(substitute, table, after, 0.0) if substitute is not None else None
+
     def _asked(self, call: Callable[[], T]) -> T:
         """Call the store and note whether it answered."""
         sources = self._exchange.sources
--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -11,6 +11,7 @@
 # the root, and each call is paid for.
 ROOT_RETRY_S = 0.25
 OTHERS_RETRY_S = 1.2
+OTHERS_LONGEST_RETRY_S = 5.0
 # Age of the store's last answer up to which it is passed on. Targets that leave and new
 # configurations must be known within 2.5 s, and a change to another source takes 0.6 s.
 MAX_AGE_S = 1.2
@@ -56,6 +57,7 @@
         self._order: tuple[RelayPeer, ...] = ()
         self._failure_by_name: dict[str, _Failure] = {}
         self._store_failed_at: float | None = None
+        self._store_failures = 0
 
     def set_order(self, order: tuple[RelayPeer, ...]) -> None:
         """Replace the instances of this failure domain, in the order of the tree."""
@@ -71,23 +73,27 @@
             return None
         return RelaySource(found, MAX_AGE_S + (depth - 1) * MAX_AGE_A_LEVEL_S)
 
-    def substitutes(self, now: float) -> tuple[RelaySource, ...]:
-        """Return an instance that may know more when the store does not answer here.
+    def substitute(self, now: float) -> RelaySource | None:
+        """Return the instance to ask when the source, or for the root the store, has no news.
 
-        The store may turn away this machine alone.
+        It is the first one below the root, which asks the store as soon as the root knows
+        nothing fresh: the store may turn away the root's machine alone.
         """
         left_out = self._left_out(now)
-        others = [
-            peer for peer in self._order if peer.name != self._name and peer.name not in left_out
-        ]
-        return tuple(RelaySource(peer, MAX_AGE_S) for peer in others[:1])
+        others = [peer for peer in self._order[:2] if peer.name != self._name]
+        is_first_below = len(self._order) > 1 and self._order[1].name == self._name
+        found = [peer for peer in others[-1:] if peer.name not in left_out]
+        return RelaySource(found[0], MAX_AGE_S) if found and not is_first_below else None
 
     def may_ask_store(self, now: float) -> bool:
         """Return whether the store may be asked; a lost one is only asked now and then."""
         if self._store_failed_at is None:
             return True
-        is_root = self.source(now) is None
-        return now >= self._store_failed_at + (ROOT_RETRY_S if is_root else OTHERS_RETRY_S)
+        pause_s = ROOT_RETRY_S
+        if self.source(now) is not None:
+            doubled_s = OTHERS_RETRY_S * 2.0 ** (self._store_failures - 1)
+            pause_s = min(OTHERS_LONGEST_RETRY_S, doubled_s)
+        return now >= self._store_failed_at + pause_s
 
     def peer_failed(self, now: float, name: str) -> None:
         """Take in that an instance did not answer."""
@@ -106,10 +112,12 @@
     def store_failed(self, now: float) -> None:
         """Take in that the store did not answer."""
         self._store_failed_at = now
+        self._store_failures += 1
 
     def store_answered(self) -> None:
         """Take in an answer of the store."""
         self._store_failed_at = None
+        self._store_failures = 0
 
     def _left_out(self, now: float) -> frozenset[str]:
         return frozenset(
