--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -355,9 +355,12 @@
             return DOMAIN_CROSSING * objective_s
         return REGION_CROSSING * objective_s + REGION_ROUND_TRIP_S
 
+    def is_near(self, domain: str) -> bool:
+        """Return whether a failure domain is in the region of this instance."""
+        return self._region_by_domain.get(domain) == self._region
+
     def _round_trip_s(self, domain: str) -> float:
-        is_near = self._region_by_domain.get(domain) == self._region
-        return 0.0 if is_near else REGION_ROUND_TRIP_S
+        return 0.0 if self.is_near(domain) else REGION_ROUND_TRIP_S
 
 
 def _by_rank(parts: tuple[float, ...], rank: int) -> float:
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -11,9 +11,11 @@
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.targets.target import TargetEntry
 
-# A connection takes one round trip, at most 60 ms between regions; a lost opening packet is only
-# sent again after a second, so another try is sooner.
+# A connection takes one round trip; a lost opening packet is only sent again after a second, so
+# another try is sooner.
 CONNECT_TIMEOUT_S = 0.25
+# Between regions a round trip takes 60 ms, and up to 0.25 s while downloads fill the link.
+FAR_CONNECT_TIMEOUT_S = 0.6
 # Responses up to this size are held until they are whole, so that one that breaks off can be
 # replaced by another try instead of being cut at the caller.
 BUFFERED_RESPONSE_BYTES = 256 * 1024
@@ -56,6 +58,8 @@
         Head of the caller's request.
     request_id
         Id that the response must name, or None.
+    connect_timeout_s
+        Longest time for opening a connection.
     """
 
     def __init__(
@@ -65,6 +69,7 @@
         entry: TargetEntry,
         head: RequestHead,
         request_id: bytes | None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -75,7 +80,7 @@
         self._response_head: ResponseHead | None = None
         self._response_facts: ResponseFacts | None = None
         self._is_aborted = False
-        self._connect_timeout_s = CONNECT_TIMEOUT_S
+        self._connect_timeout_s = connect_timeout_s
         self.started_at = monotonic()
 
     def send(self, until: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
@@ -96,7 +101,7 @@
             If it cannot be written; the failure says whether any of it was.
         """
         left_s = max(0.001, until - monotonic())
-        self._connect_timeout_s = min(CONNECT_TIMEOUT_S, left_s)
+        self._connect_timeout_s = min(self._connect_timeout_s, left_s)
         fields = list(self._dialect.call_fields(self._head, self._entry.target_id, left_s))
         if rest is not None:
             fields.append((b"Transfer-Encoding", b"chunked"))
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -10,7 +10,12 @@
 from damasktide.dispatch.retry_allowance import RetryAllowance, RetryLimits
 from damasktide.gateway.admission import GatewayRequest, deadlines, read_body
 from damasktide.gateway.attempts import Attempts
-from damasktide.gateway.call import Answered, TargetCall
+from damasktide.gateway.call import (
+    CONNECT_TIMEOUT_S,
+    FAR_CONNECT_TIMEOUT_S,
+    Answered,
+    TargetCall,
+)
 from damasktide.gateway.dialect import Dialect, RequestFacts
 from damasktide.gateway.refusals import Reason, Refusal, not_run
 from damasktide.gateway.telemetry import GatewayTelemetry
@@ -250,6 +255,9 @@
             entry,
             request.head,
             request.facts.request_id,
+            CONNECT_TIMEOUT_S
+            if self._parts.dispatcher.is_near(entry.domain)
+            else FAR_CONNECT_TIMEOUT_S,
         )
 
     def _allowance(self, service: str) -> RetryAllowance:
