--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -139,6 +139,7 @@
             lambda: self._targets.confirmed_at.value,
             self._members_changed,
             min(HOLD_S, settings.longest_hold_s),
+            settings.region_by_domain,
             fail,
         )
         self._routing = RoutingTask(
