Keep an entry no longer for a second outage of the store

A machine that had been cut off for 12 s found at its return that a target was missing; a loss of the store by the instance that passes on its news, a second later, began the time for which missing entries are kept anew, and the target got a request 3.9 s after the machine was back. Ruled out: news that came late (the drop was known at once).

Change: each missing entry has its own end, counted from the return of the store after the outage in which it went missing.

--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -20,7 +20,8 @@
         self._entry_by_id: dict[str, TargetEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
-        self._missing_since_by_id: dict[str, float] = {}
+        # Until when entries that are missing are kept; None until the store has returned.
+        self._kept_until_by_id: dict[str, float | None] = {}
         self._is_store_lost = False
         self._store_back_at = float("-inf")
         self._view = TargetView()
@@ -35,9 +36,15 @@
         self._is_store_lost = True
 
     def store_returned(self, now: float) -> None:
-        """Note that the store answers again after an outage."""
+        """Note that the store answers again after an outage.
+
+        Entries that were missing after an earlier outage are kept no longer for this one.
+        """
         self._is_store_lost = False
         self._store_back_at = now
+        for target_id, until in self._kept_until_by_id.items():
+            if until is None:
+                self._kept_until_by_id[target_id] = now + LAPSE_GRACE_S
 
     def listed(self, now: float, version: int, entry: TargetEntry) -> bool:
         """Take in an entry; return whether it changed anything but a check-in.
@@ -58,7 +65,7 @@
             # A check-in of an earlier life that arrived late.
             return False
         self._version_by_id[entry.target_id] = version
-        self._missing_since_by_id.pop(entry.target_id, None)
+        self._kept_until_by_id.pop(entry.target_id, None)
         if known == entry:
             return False
         self._entry_by_id[entry.target_id] = entry
@@ -73,7 +80,8 @@
         if target_id not in self._entry_by_id:
             return False
         if self._is_within_grace(now):
-            self._missing_since_by_id.setdefault(target_id, now)
+            until = None if self._is_store_lost else self._store_back_at + LAPSE_GRACE_S
+            self._kept_until_by_id.setdefault(target_id, until)
             return False
         self._drop(target_id)
         return True
@@ -86,9 +94,11 @@
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop and return targets that are still missing after the grace period."""
-        if not self._missing_since_by_id or self._is_within_grace(now):
-            return ()
-        gone = tuple(self._missing_since_by_id)
+        gone = tuple(
+            target_id
+            for target_id, until in self._kept_until_by_id.items()
+            if until is not None and now >= until
+        )
         for target_id in gone:
             self._drop(target_id)
         return gone
@@ -105,7 +115,7 @@
         return self._is_store_lost or now < self._store_back_at + LAPSE_GRACE_S
 
     def _drop(self, target_id: str) -> None:
-        self._missing_since_by_id.pop(target_id, None)
+        self._kept_until_by_id.pop(target_id, None)
         del self._entry_by_id[target_id]
         self._rebuild()
 
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -57,6 +57,25 @@
         self.assertEqual(self.directory.expire(20.0), ())
         self.assertEqual(usable(self.directory), ["t1"])
 
+    def test_second_outage_keeps_a_missing_entry_no_longer(self) -> None:
+        """Guards against requests to a target that left while this machine was cut off."""
+        self.directory.store_lost()
+        self.directory.store_returned(10.0)
+        self.directory.unlisted(10.1, 2, "t1")
+        self.directory.store_lost()
+        self.directory.store_returned(11.5)
+        self.assertEqual(self.directory.expire(10.0 + LAPSE_GRACE_S + 0.01), ("t1",))
+
+    def test_entry_that_went_missing_while_the_store_was_away_is_kept_after_its_return(
+        self,
+    ) -> None:
+        self.directory.store_lost()
+        self.directory.unlisted(5.0, 2, "t1")
+        self.assertEqual(self.directory.expire(9.0), ())
+        self.directory.store_returned(10.0)
+        self.assertEqual(self.directory.expire(10.0 + LAPSE_GRACE_S - 0.01), ())
+        self.assertEqual(self.directory.expire(10.0 + LAPSE_GRACE_S), ("t1",))
+
     def test_complete_list_without_a_target_drops_it(self) -> None:
         """Changes may be missed when the store drops its history."""
         self.directory.reconcile(1.0, 7, frozenset())
