Leave two thirds of the retry budget to urgent requests; use it up

A quarter of the budget stayed unused, for a reason that does not hold: the windows of the instances do align.

Change: requests of a lower rank may use 0.35 of the budget. Repeats are counted over a little more than the window and requests over a little less, so that the sum keeps the bound without the margin of a quarter.

--- a/packages/damasktide/src/damasktide/dispatch/retry_allowance.py
+++ b/packages/damasktide/src/damasktide/dispatch/retry_allowance.py
@@ -3,9 +3,13 @@
 from collections import deque
 from dataclasses import dataclass
 
-# Part of the allowed ratio that is used, because the windows of the instances do not align.
-RATIO_MARGIN = 0.75
+# Part of the allowance that is used: a repeat arrives some time after it is counted here, and a
+# process that starts has counted nothing.
+RATIO_MARGIN = 0.95
 SLACK_MARGIN = 0.8
+# Part of the allowance that requests of a rank may use up, the most urgent first. While targets
+# shed, the rest is left to more urgent requests, which callers cannot repeat as freely.
+PART_BY_RANK = (1.0, 0.35, 0.25)
 _BUCKET_S = 0.5
 
 
@@ -55,20 +59,27 @@
         """Count a request that was received."""
         self._bucket(now).requests += 1
 
-    def allows(self, now: float, instances: int) -> bool:
-        """Return whether one more repeat is within this instance's part."""
+    def allows(self, now: float, instances: int, rank: int = 0) -> bool:
+        """Return whether one more repeat of a request of ``rank`` is within this part.
+
+        Repeats are counted over a little more than the window and requests over a little less,
+        because both are kept in buckets.
+        """
         self._bucket(now)
-        requests = sum(bucket.requests for bucket in self._buckets)
-        repeats = sum(bucket.repeats for bucket in self._buckets)
+        oldest = now - self._limits.window_s
+        requests = sum(item.requests for item in self._buckets if item.started_at > oldest)
+        repeats = sum(item.repeats for item in self._buckets)
         part = self._limits.slack * SLACK_MARGIN / max(1, instances)
-        return repeats + 1 <= self._limits.ratio * RATIO_MARGIN * requests + part
+        allowed = self._limits.ratio * RATIO_MARGIN * requests + part
+        return repeats + 1 <= PART_BY_RANK[min(rank, len(PART_BY_RANK) - 1)] * allowed
 
     def count_repeat(self, now: float) -> None:
         """Count a repeat that is sent."""
         self._bucket(now).repeats += 1
 
     def _bucket(self, now: float) -> _Bucket:
-        while self._buckets and self._buckets[0].started_at <= now - self._limits.window_s:
+        oldest = now - self._limits.window_s - _BUCKET_S
+        while self._buckets and self._buckets[0].started_at <= oldest:
             self._buckets.popleft()
         if not self._buckets or now - self._buckets[-1].started_at >= _BUCKET_S:
             self._buckets.append(_Bucket(now))
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_retry_allowance.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_retry_allowance.py
@@ -42,3 +42,16 @@
             allowance.count_repeat(200.0)
             sent += 1
         self.assertLessEqual(sent, LIMITS.slack / INSTANCES)
+
+    def test_urgent_requests_find_a_part_left(self) -> None:
+        """Guards against reads that use up the budget of bookings while targets shed half."""
+        allowance = RetryAllowance(LIMITS)
+        for _ in range(500):
+            allowance.count_request(1.0)
+        while allowance.allows(1.0, INSTANCES, rank=1):
+            allowance.count_repeat(1.0)
+        urgent = 0
+        while allowance.allows(1.0, INSTANCES, rank=0):
+            allowance.count_repeat(1.0)
+            urgent += 1
+        self.assertGreater(urgent, 0.5 * LIMITS.ratio * 500)
