--- a/packages/damasktide/src/damasktide/peering/client.py
+++ b/packages/damasktide/src/damasktide/peering/client.py
@@ -44,6 +44,13 @@
     """Asks for links that are idle to be closed and abandoned calls to be forgotten."""
 
 
+@dataclass(frozen=True, slots=True)
+class DropLink:
+    """Asks the client to end the link to an address; its calls in flight fail at once."""
+
+    address: Address
+
+
 @dataclass(frozen=True, slots=True)
 class LinkWanted:
     """Asks the client for the open link to an address."""
@@ -225,6 +232,12 @@
             self._link_by_address[message.address] = link
         return link
 
+    @handles(DropLink)
+    def _drop_link(self, message: DropLink) -> None:
+        link = self._link_by_address.pop(message.address, None)
+        if link is not None:
+            link.end("the peer is silent")
+
     @every(SWEEP_PERIOD_S)
     def _sweep_links(self) -> None:
         self._sweep(SweepLinks())
--- a/packages/damasktide/src/damasktide/peering/tests/test_links.py
+++ b/packages/damasktide/src/damasktide/peering/tests/test_links.py
@@ -8,7 +8,7 @@
 from returns.pipeline import is_successful
 
 from damasktide.peering.authentication import Direction
-from damasktide.peering.client import LINK_IDLE_S, LinkWanted, PeerClient, SweepLinks
+from damasktide.peering.client import LINK_IDLE_S, DropLink, LinkWanted, PeerClient, SweepLinks
 from damasktide.peering.codec import MAX_BODY_BYTES, PeerCall
 from damasktide.peering.server import CallHandler, ListeningAddress, PeerServer
 from damasktide.peering.stream import PeerStream
@@ -91,6 +91,14 @@
         self.assertFalse(late.failure().not_sent)
         self.assertEqual(self.client.call(*address, "sleep", b"120", 2.0).unwrap(), b"120")
 
+    def test_dropping_a_link_ends_its_calls_at_once(self) -> None:
+        """Guards against calls that wait out their time at a peer known to be silent."""
+        address = self.serve()
+        waiting = gevent.spawn(self.client.call, *address, "sleep", b"4000", 5.0)
+        gevent.sleep(0.1)
+        self.client.tell(DropLink(address))
+        self.assertFalse(is_successful(waiting.get(timeout=2.0)))
+
     def test_a_failing_handler_keeps_the_link(self) -> None:
         """Guards against one broken call failing the others on its link."""
         address = self.serve()
--- a/packages/damasktide/src/damasktide/relay/exchange.py
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from returns.result import Failure
 
-from damasktide.peering.client import PeerClient
+from damasktide.peering.client import DropLink, PeerClient
 from damasktide.peering.server import CallHandler, PeerServer
 from damasktide.relay.codec import MalformedNewsError, decode_news, encode_wanted
 from damasktide.relay.messages import News, NewsRefused, NewsWanted
@@ -32,10 +32,13 @@
         Key that all instances share; without one no links are made.
     peers
         The instances that can be called.
+    other_roots
+        The root of each other failure domain.
     """
 
     key: bytes
     peers: tuple[RelayPeer, ...]
+    other_roots: tuple[RelayPeer, ...] = ()
 
 
 class RelayExchange(Task):
@@ -65,6 +68,7 @@
     ) -> None:
         super().__init__("relay", on_failure)
         self.sources = RelaySources(name)
+        self.other_roots: tuple[RelayPeer, ...] = ()
         self._own_id = f"{name}#{boot}"
         self._listen = listen
         self._handlers: Registry[str, CallHandler] = Registry("peer call")
@@ -89,6 +93,20 @@
             self._failed(peer, str(error))
             return NewsRefused("malformed")
 
+    def serve(self, kind: str, handler: CallHandler) -> None:
+        """Let ``handler`` answer the calls of one kind; to be called before the start."""
+        self._handlers.register(kind)(handler)
+
+    def call(self, peer: RelayPeer, kind: str, body: bytes, timeout_s: float) -> bytes | None:
+        """Call another instance; return None if it does not answer."""
+        if self._client is None:
+            return None
+        result = self._client.call(*peer.address, kind, body, timeout_s)
+        if isinstance(result, Failure):
+            logger.bind(peer=peer.name, detail=result.failure().reason).debug("call failed")
+            return None
+        return result.unwrap()
+
     def on_stop(self) -> None:
         """Close all links."""
         if self._server is not None:
@@ -106,6 +124,7 @@
             self._client = PeerClient(self._own_id, group.key)
             self._client.start()
         self.sources.set_order(relay_order(group.peers))
+        self.other_roots = group.other_roots
         source = self.sources.source(monotonic())
         logger.bind(
             peers=len(group.peers), asks=source.peer.name if source is not None else "the store"
@@ -113,4 +132,7 @@
 
     def _failed(self, peer: RelayPeer, reason: str) -> None:
         self.sources.peer_failed(monotonic(), peer.name)
+        if self._client is not None:
+            # Calls that wait for this instance about other tables need not wait on.
+            self._client.tell(DropLink(peer.address))
         logger.bind(peer=peer.name, detail=reason).info("an instance passes on no news")
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -25,8 +25,9 @@
 SOURCE_ATTEMPTS = 4
 SOURCE_RETRY_S = 0.15
 
-# A source that fell silent is noticed after this wait and the margin of the answer.
-LONGEST_RELAY_WAIT_S = 1.0
+# A source that fell silent is noticed by the first call that it does not answer, which ends the
+# others, so only the table that changes all the time needs short waits.
+LONGEST_RELAY_WAIT_S = 4.0
 
 
 class RelayedStore:
@@ -60,6 +61,8 @@
         try:
             return self._asked(lambda: self._store.wait_for_changes(table, after, wait_s))
         except StoreUnavailableError:
+            # The reader takes this for an outage, so those of others before now are past.
+            self._outages_by_peer.clear()
             found = self._substitute_news(table, after)
             if found is None:
                 raise
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -14,6 +14,8 @@
 NEWS_KIND = "relay-news"
 # Bound on the wait that a peer may ask for.
 LONGEST_WAIT_S = 5.0
+# Pause after which an answer that has become too old is certainly seen to be.
+RECHECK_S = 0.02
 
 Snapshots = Mapping[str, Published[TableSnapshot | None]]
 
@@ -58,13 +60,15 @@
             if wanted.after < snapshot.complete_since:
                 return NewsRefused("changes are no longer known")
             now = self._clock.now()
-            if now - latest_asked_at(self._all()) > wanted.max_age_s:
+            fresh_until = latest_asked_at(self._all()) + wanted.max_age_s
+            if now > fresh_until:
                 return NewsRefused("no fresh answer of the store")
             rows = snapshot.rows_after(wanted.after)
             if rows or now >= until:
                 age_s = max(0.0, now - snapshot.asked_at)
                 return RelayedChanges(rows, snapshot.version, age_s, self._outages())
-            published.wait_beyond(snapshot, until - now)
+            # An asker must not wait on when this instance has lost the store itself.
+            published.wait_beyond(snapshot, min(until, fresh_until + RECHECK_S) - now)
 
     def _all(self) -> Iterable[TableSnapshot | None]:
         return (published.value for published in self._snapshots.values())
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 from time import monotonic
 
 import gevent
@@ -27,7 +28,7 @@
     StoreUnavailableError,
     TableState,
 )
-from damasktide.runtime.clock import ManualClock
+from damasktide.runtime.clock import LeaseClock, ManualClock
 from damasktide.runtime.published import Published
 
 TABLE = "op"
@@ -158,6 +159,17 @@
         self.clock.advance(1.5)
         self.assertIsInstance(self.ask(6), NewsRefused)
 
+    def test_waiting_asker_is_sent_away_when_the_store_is_lost(self) -> None:
+        """Guards against a call for a table that seldom changes waiting at a stale source."""
+        server = NewsServer({TABLE: self.table}, lambda: 2, LeaseClock())
+        known = self.table.value
+        assert known is not None
+        self.table.publish(replace(known, asked_at=LeaseClock().now()))
+        started_at = monotonic()
+        found = server.answer(NewsWanted(TABLE, 6, 4.0, 0.3))
+        self.assertIsInstance(found, NewsRefused)
+        self.assertLess(monotonic() - started_at, 3.0)
+
     def test_reader_too_far_behind_is_refused(self) -> None:
         self.assertIsInstance(self.ask(2), NewsRefused)
         self.assertIsInstance(self.ask(6, table="unknown"), NewsRefused)
