Tell the load of full targets; compare a few random targets first

Ruled out: the link (transfers took 0.08 to 0.25 s throughout).

Change: reports of full targets, and of those that are full no longer, go to the parent in the tree and between the roots, twice a second while there are any. Since reports are then alike everywhere, a request first compares six random targets of each distance, and all of them only if the best of these has no free slot.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -1,6 +1,7 @@
 """A gateway instance: its tasks, its listeners and its graceful stop."""
 
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from time import monotonic, time
 
@@ -9,6 +10,8 @@
 from prometheus_client import CollectorRegistry
 
 from damasktide.dispatch.dispatcher import Dispatcher
+from damasktide.dispatch.link_budget import LinkBudget
+from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.gateway.dialect import Dialect
 from damasktide.gateway.handler import GatewayHandler, GatewayParts
 from damasktide.gateway.probe_listener import ProbeHandler
@@ -34,10 +37,12 @@
     RequestFinished,
     RequestStarted,
 )
+from damasktide.loads.messages import HeardReport, life_hash
+from damasktide.loads.task import LoadExchange
 from damasktide.relay.exchange import RelayExchange, RelayGroup
 from damasktide.relay.relayed_store import RelayedStore
 from damasktide.relay.server import NewsServer
-from damasktide.relay.tree import RelayPeer
+from damasktide.relay.tree import RelayPeer, relay_order
 from damasktide.routing.configuration import RoutingConfiguration
 from damasktide.routing.task import RoutingTask, StatementDecoder
 from damasktide.rows.snapshot import TableSnapshot
@@ -119,11 +124,14 @@
         fail = self._lifecycle.tell
         self._snapshots: dict[str, Published[TableSnapshot | None]] = {}
         self._exchange: RelayExchange | None = None
+        self._loads: LoadExchange | None = None
+        self._life_by_hash: dict[int, tuple[str, int]] = {}
         if listen is not None:
             news = NewsServer(
                 self._snapshots, lambda: self._targets.follower.outages, LeaseClock()
             )
             self._exchange = RelayExchange(settings.instance, boot, listen, news, fail)
+            self._loads = LoadExchange(settings.instance, self._exchange, self._loads_heard, fail)
         self._targets = TargetTask(
             self._open_store(adapter),
             adapter.target_table,
@@ -182,6 +190,8 @@
         self._keeper.start()
         if self._exchange is not None:
             self._exchange.start()
+        if self._loads is not None:
+            self._loads.start()
         gevent.spawn(self._mark_ready)
         gevent.spawn(self._keep_house)
         exit_code = self._lifecycle.wait()
@@ -211,6 +221,8 @@
             lambda: self._lifecycle.tell(RequestFinished()),
             self._settings.retry_limits,
             GatewayTelemetry(registry),
+            LinkBudget(self._settings.link_mbps),
+            self._load_reported,
         )
 
     def _limits(self) -> CallerLimits:
@@ -233,18 +245,34 @@
                 self._listener.close_idle()
 
     def _targets_changed(self, view: TargetView) -> None:
+        self._life_by_hash = {
+            life_hash(entry.life): entry.life for entry in view.entry_by_id.values()
+        }
         self._dispatcher.set_targets(monotonic(), view)
         self._keeper.tell(TargetsChanged(view))
 
     def _members_changed(self, members: Members) -> None:
         if self._exchange is None or members.link_key is None:
             return
-        peers = tuple(
-            RelayPeer(record.name, record.address, record.link_mbps)
-            for record in members.record_by_name.values()
-            if record.domain == self._settings.domain and record.address is not None
-        )
-        self._exchange.tell(RelayGroup(members.link_key, peers))
+        peers_by_domain: dict[str, list[RelayPeer]] = defaultdict(list)
+        for record in members.record_by_name.values():
+            if record.address is not None:
+                peers_by_domain[record.domain].append(
+                    RelayPeer(record.name, record.address, record.link_mbps)
+                )
+        near = peers_by_domain.pop(self._settings.domain, [])
+        roots = tuple(relay_order(peers)[0] for peers in peers_by_domain.values())
+        self._exchange.tell(RelayGroup(members.link_key, tuple(near), roots))
+
+    def _load_reported(self, life: tuple[str, int], report: LoadReport) -> None:
+        if self._loads is not None:
+            self._loads.seen(life, report)
+
+    def _loads_heard(self, now: float, news: Sequence[HeardReport]) -> None:
+        for heard in news:
+            life = self._life_by_hash.get(heard.life)
+            if life is not None:
+                self._dispatcher.take_heard(now, life, heard.report, heard.age_s)
 
     def _store_lost(self) -> None:
         self._routing.store_lost()
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -1,5 +1,6 @@
 """Decides where a request goes; a state machine without network."""
 
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -30,6 +31,9 @@
 FIRST_USUAL_PART = 0.3
 # Calls that a target that sheds is assumed to have queued.
 SHED_QUEUE_CALLS = 6
+# Targets of each distance that are compared for a request. Reports are some tenths of a second
+# old, so instances that all compare all targets would choose the same ones.
+COMPARED_TARGETS = 6
 SHORTEST_RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
 # Time in which a lost target is replaced or a key gets another owner.
@@ -239,6 +243,14 @@
         found.call_starts(now)
         return chosen
 
+    def take_heard(
+        self, now: float, life: tuple[str, int], report: LoadReport, age_s: float
+    ) -> None:
+        """Take in a report that another instance was given ``age_s`` seconds ago."""
+        estimate = self._estimate_by_life.get(life)
+        if estimate is not None:
+            estimate.take_heard(now, report, age_s)
+
     def ended(self, now: float, outcome: SendOutcome) -> None:
         """Take in the end of a call."""
         estimate = self._estimate_by_life.get(outcome.entry.life)
@@ -298,12 +310,42 @@
         reachable = [item for item in estimates if now >= item.unreachable_until]
         if not reachable:
             return NotChosen(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_S)
+        found = self._first_idle(now, reachable, wanted)
+        if found is not None:
+            return found
         ranked = self._ranked(now, reachable, wanted)
         for _, estimate in ranked:
             if self._admits_cold(now, estimate, wanted.service):
                 return self._in_time(now, estimate, wanted)
         return NotChosen(NoTargetReason.ALL_COLD, RECOVERY_RETRY_S)
 
+    def _first_idle(
+        self, now: float, reachable: list[LoadEstimate], wanted: Wanted
+    ) -> LoadEstimate | None:
+        """Return the best of a few random targets if it has a free slot.
+
+        See Mitzenmacher, "How useful is old information?" (2000).
+        """
+        compared = self._compared(reachable)
+        if len(compared) == len(reachable):
+            return None
+        best = self._ranked(now, compared, wanted)[0][1]
+        if not best.has_free_slot(now) or best.is_cold(now):
+            return None
+        in_time = self._in_time(now, best, wanted)
+        return in_time if isinstance(in_time, LoadEstimate) else None
+
+    def _compared(self, reachable: list[LoadEstimate]) -> list[LoadEstimate]:
+        by_distance: dict[float, list[LoadEstimate]] = defaultdict(list)
+        for estimate in reachable:
+            by_distance[self._crossing_s(estimate.entry.domain, 1.0)].append(estimate)
+        compared: list[LoadEstimate] = []
+        for group in by_distance.values():
+            if len(group) > COMPARED_TARGETS:
+                group = self._rng.sample(group, COMPARED_TARGETS)
+            compared += group
+        return compared
+
     def _ranked(
         self, now: float, estimates: list[LoadEstimate], wanted: Wanted
     ) -> list[tuple[float, LoadEstimate]]:
--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -106,6 +106,14 @@
         self._slowdown = max(0.1, report.slowdown)
         self._reported_at = now
 
+    def take_heard(self, now: float, report: LoadReport, age_s: float) -> None:
+        """Take in a report that another instance was given ``age_s`` seconds ago."""
+        if now - age_s <= self._reported_at:
+            return
+        self._other_calls = max(0.0, report.running + report.waiting - self.in_flight)
+        self._slowdown = max(0.1, report.slowdown)
+        self._reported_at = now - age_s
+
     def take_shed(self, now: float, queue_calls: int) -> None:
         """Take in that the target turned a request away because it is full."""
         self._other_calls = max(self._other_calls, self.entry.slots + queue_calls - self.in_flight)
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -16,6 +16,7 @@
     SendOutcome,
     Wanted,
 )
+from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.dispatch.retry_allowance import RetryAllowance
 from damasktide.gateway.admission import GatewayRequest
 from damasktide.gateway.call import Answered, TargetCall
@@ -58,6 +59,8 @@
         Returns how many instances share the budget.
     open_call
         Makes a call to a target.
+    on_report
+        Called with the life of a target and the load that it reports.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         maps: Callable[[], Mapping[str, KeyMap]],
         instances: Callable[[], int],
         open_call: OpenCall,
+        on_report: Callable[[tuple[str, int], LoadReport], None] = lambda life, report: None,
     ) -> None:
         self._request = request
         self._dispatcher = dispatcher
@@ -75,6 +79,7 @@
         self._maps = maps
         self._instances = instances
         self._open_call = open_call
+        self._on_report = on_report
         self._call: TargetCall | None = None
         self._open_sends: list[Send] = []
         self._last_moment = request.until + ANSWER_GRACE_S
@@ -250,7 +255,7 @@
     def _begin_hedge(self) -> Send | None:
         """Send the request to an idle target, if the budget allows it."""
         now = monotonic()
-        if self._is_gone or not self._allowance.allows(now, self._instances()):
+        if self._is_gone or not self._allowance.allows(now, self._instances(), self._request.rank):
             return None
         chosen = self._dispatcher.choose(now, self._wanted(now, None))
         if isinstance(chosen, NotChosen):
@@ -309,7 +314,10 @@
         return Failed(error.failure.excludes_execution, str(error))
 
     def _end(self, send: Send, answer: Answered, **outcome: Any) -> None:
-        self._close(send, report=answer.facts.report, **outcome)
+        report = answer.facts.report
+        if report is not None:
+            self._on_report(send.chosen.entry.life, report)
+        self._close(send, report=report, **outcome)
 
     def _close(self, send: Send, **outcome: Any) -> None:
         self._open_sends.remove(send)
@@ -345,7 +353,7 @@
             return True
         if len(self._tried_ids) >= request.route.max_attempts:
             return False
-        return self._allowance.allows(now, self._instances())
+        return self._allowance.allows(now, self._instances(), self._request.rank)
 
     def _give_up(self, refusal: Refusal | None, failed: Failed | None) -> Answered | Refusal:
         if failed is None:
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -1,12 +1,14 @@
 """Serves the requests of one caller's connection."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 
 from loguru import logger
 
 from damasktide.dispatch.dispatcher import Dispatcher
+from damasktide.dispatch.link_budget import LinkBudget
+from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.dispatch.retry_allowance import RetryAllowance, RetryLimits
 from damasktide.gateway.admission import GatewayRequest, deadlines, read_body
 from damasktide.gateway.attempts import Attempts
@@ -65,6 +67,10 @@
         Bound on further sends over all instances.
     telemetry
         Counts and logs how requests end.
+    link
+        Budget of the machine's own link.
+    on_report
+        Called with the life of a target and the load that it reports.
     """
 
     dialect: Dialect
@@ -78,6 +84,8 @@
     on_finished: Callable[[], None]
     retry_limits: RetryLimits
     telemetry: GatewayTelemetry
+    link: LinkBudget = field(default_factory=lambda: LinkBudget(0.0))
+    on_report: Callable[[tuple[str, int], LoadReport], None] = lambda life, report: None
 
 
 class GatewayHandler:
@@ -141,6 +149,9 @@
         name = self._splitter.choose(route)
         service = in_force.configuration.service_by_name.get(name, Service(name))
         self._allowance(name).count_request(monotonic())
+        wait_s = self._parts.link.reserve(monotonic(), route.name)
+        if wait_s:
+            return not_run(Reason.OVERLOADED, "the link is full", wait_s)
         body = read_body(caller)
         until, caller_until = deadlines(route, facts, caller.received_at)
         rank = in_force.table.rank(route, name)
@@ -158,6 +169,7 @@
             self._parts.maps,
             self._parts.instances,
             self._open_call,
+            self._parts.on_report,
         )
         caller.watch(attempts.abort)
         try:
@@ -187,6 +199,9 @@
         keeps_alive: bool,
     ) -> bool:
         head = answer.head
+        if head.status < 300:
+            length = head.content_length
+            self._parts.link.learn(request.route.name, length or len(answer.body))
         fields = list(end_to_end_fields(head.headers))
         if not keeps_alive:
             fields.append(_CLOSE)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Instances tell each other what targets report of their load."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/loads/messages.py
@@ -0,0 +1,34 @@
+"""What instances tell each other of the load of targets."""
+
+from dataclasses import dataclass
+from zlib import crc32
+
+from damasktide.dispatch.load_estimate import LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class HeardReport:
+    """A target's report with its age.
+
+    Attributes
+    ----------
+    life
+        Hash of the target's id and start, see :func:`life_hash`.
+    report
+        The report.
+    age_s
+        Time since the target made it, in seconds.
+    """
+
+    life: int
+    report: LoadReport
+    age_s: float
+
+
+def life_hash(life: tuple[str, int]) -> int:
+    """Return the number by which messages name one life of a target.
+
+    Of 700 targets two have the same number in one of 17,000 deployments; the load of one would
+    then be taken for that of the other.
+    """
+    return crc32(f"{life[0]}/{life[1]}".encode())
--- /dev/null
+++ b/packages/damasktide/src/damasktide/loads/tests/test_task.py
@@ -0,0 +1,92 @@
+"""Who tells whom of the load: children their parent, roots each other; without network."""
+
+import unittest
+from collections.abc import Callable, Sequence
+
+from damasktide.dispatch.load_estimate import LoadReport
+from damasktide.loads.messages import HeardReport, life_hash
+from damasktide.loads.task import LoadExchange
+from damasktide.relay.sources import RelaySources
+from damasktide.relay.tree import RelayPeer, relay_order
+
+Handler = Callable[[str, bytes], bytes]
+FULL = LoadReport(6, 12, 6)
+
+
+class Network:
+    """Carries calls between exchanges at once."""
+
+    def __init__(self) -> None:
+        self.handler_by_name: dict[str, Handler] = {}
+        self.calls: list[tuple[str, str]] = []
+
+
+class FakeRelay:
+    """Stands in for the links of one instance."""
+
+    def __init__(self, network: Network, name: str, domain: str) -> None:
+        self._network = network
+        self._name = name
+        self.sources = RelaySources(name)
+        self.sources.set_order(ORDERS[domain])
+        self.other_roots = tuple(order[0] for other, order in ORDERS.items() if other != domain)
+
+    def serve(self, kind: str, handler: Handler) -> None:
+        self._network.handler_by_name[self._name] = handler
+
+    def call(self, peer: RelayPeer, kind: str, body: bytes, timeout_s: float) -> bytes | None:
+        self._network.calls.append((self._name, peer.name))
+        handler = self._network.handler_by_name.get(peer.name)
+        return handler(f"{self._name}#1", body) if handler is not None else None
+
+
+ORDERS = {
+    domain: relay_order(RelayPeer(f"{domain}-{n}", (domain, n), 100.0) for n in range(3))
+    for domain in ("a1", "a2", "b1")
+}
+
+
+class TestLoadExchange(unittest.TestCase):
+    def setUp(self) -> None:
+        self.network = Network()
+        self.heard: dict[str, list[HeardReport]] = {}
+        self.exchanges = {
+            peer.name: self.exchange(peer.name, domain)
+            for domain, order in ORDERS.items()
+            for peer in order
+        }
+
+    def exchange(self, name: str, domain: str) -> LoadExchange:
+        relay = FakeRelay(self.network, name, domain)
+
+        def take(now: float, news: Sequence[HeardReport]) -> None:
+            self.heard.setdefault(name, []).extend(news)
+
+        return LoadExchange(name, relay, take)  # type: ignore[arg-type]
+
+    def round(self) -> None:
+        for exchange in self.exchanges.values():
+            exchange.on_wake()
+
+    def test_report_reaches_every_instance_in_a_few_rounds(self) -> None:
+        teller = ORDERS["b1"][2].name
+        self.exchanges[teller].seen(("t1", 1), FULL)
+        for _ in range(3):
+            self.round()
+        informed = {name for name, news in self.heard.items() if news}
+        self.assertEqual(informed, set(self.exchanges) - {teller})
+        for news in self.heard.values():
+            self.assertEqual([item.life for item in news], [life_hash(("t1", 1))])
+
+    def test_only_roots_call_other_domains(self) -> None:
+        """Guards against calls between all pairs of instances."""
+        self.round()
+        roots = {order[0].name for order in ORDERS.values()}
+        for caller, called in self.network.calls:
+            if caller[:2] != called[:2]:
+                self.assertLessEqual({caller, called}, roots)
+
+    def test_silent_instance_holds_nothing_up(self) -> None:
+        self.network.handler_by_name.clear()
+        self.round()
+        self.assertEqual(self.heard, {})
