--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 READY := $(VENV)/.ready
 PACKAGES := packages/damasktide packages/damasktidectl packages/damasktide-standins platform
 SOURCES := packages platform tooling
+SEEDS ?= 1-3
+SECONDS ?= 15
 
-.PHONY: demo test lint format types setup clean fault-matrix measure
+.PHONY: demo test lint format types setup clean fault-matrix measure soak
 
 setup: $(READY)
 
@@ -24,6 +26,9 @@
 	$(PYTHON) -m damasktide_standins.ownership_world.matrix
 	$(PYTHON) -m damasktide_standins.process_faults
 
+soak: $(READY)
+	$(PYTHON) -m damasktide_platform_emulator.soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 measure: $(READY)
 	$(PYTHON) -m damasktide_standins.measure --output build/measure
 
