--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -2,12 +2,17 @@
 
 from collections import defaultdict
 from collections.abc import Mapping
-from dataclasses import dataclass
-from enum import Enum
 from random import Random
 
 from damasktide.dispatch.cold_start import ColdStartLimiter, Instances
 from damasktide.dispatch.load_estimate import LoadEstimate, LoadReport
+from damasktide.dispatch.messages import (
+    Chosen,
+    NoTargetReason,
+    NotChosen,
+    SendOutcome,
+    Wanted,
+)
 from damasktide.dispatch.policies import Policy, Ranking, dispatch_policies
 from damasktide.routing.configuration import Service
 from damasktide.targets.target import TargetEntry, TargetView
@@ -40,133 +45,6 @@
 RECOVERY_RETRY_S = 0.8
 
 
-class NoTargetReason(Enum):
-    """Why a request is not sent."""
-
-    NONE_LISTED = "none_listed"
-    NONE_IN_REGIONS = "none_in_regions"
-    ALL_UNREACHABLE = "all_unreachable"
-    ALL_COLD = "all_cold"
-    TOO_LATE = "too_late"
-    ALL_TRIED = "all_tried"
-    OWNER_UNUSABLE = "owner_unusable"
-
-
-@dataclass(frozen=True, slots=True)
-class Wanted:
-    """What a request needs.
-
-    Attributes
-    ----------
-    service
-        The service.
-    route
-        Name of its route, by which usual times are learned.
-    objective_s
-        Time within which the response has its full value.
-    left_s
-        Time left until the request is given up.
-    regions
-        Regions in which it may be served; empty allows all.
-    rank
-        Rank of its priority within the service; 0 is the most urgent.
-    owner_id
-        The target that holds the request's key, or None if any target will do.
-    tried_ids
-        Targets to which it was sent before.
-    """
-
-    service: Service
-    route: str
-    objective_s: float
-    left_s: float
-    regions: frozenset[str] = frozenset()
-    rank: int = 0
-    owner_id: str | None = None
-    tried_ids: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class Chosen:
-    """The target of one send.
-
-    Attributes
-    ----------
-    entry
-        The target.
-    expected_s
-        Expected time to the response.
-    calls
-        Estimated calls at the target before this one.
-    load_factor
-        How much longer the call takes than at an idle target.
-    has_free_slot
-        Whether it probably need not wait.
-    """
-
-    entry: TargetEntry
-    expected_s: float
-    calls: float
-    load_factor: float = 1.0
-    has_free_slot: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class NotChosen:
-    """No target can serve the request now.
-
-    Attributes
-    ----------
-    reason
-        Why.
-    retry_after_s
-        Time after which another try is useful.
-    """
-
-    reason: NoTargetReason
-    retry_after_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class SendOutcome:
-    """How a send ended.
-
-    Attributes
-    ----------
-    entry
-        The target.
-    route
-        Name of the request's route.
-    duration_s
-        Time from the send to the response's head, or to the failure.
-    has_failed
-        Whether the target failed the request.
-    has_no_answer
-        Whether no response arrived.
-    is_shed
-        Whether the target turned the request away as full.
-    is_unreachable
-        Whether the target accepted no connection.
-    is_abandoned
-        Whether the call was ended from this side.
-    load_factor
-        What :class:`Chosen` said.
-    report
-        The target's load report, if the response carried one.
-    """
-
-    entry: TargetEntry
-    route: str
-    duration_s: float
-    has_failed: bool = False
-    has_no_answer: bool = False
-    is_shed: bool = False
-    is_unreachable: bool = False
-    is_abandoned: bool = False
-    load_factor: float = 1.0
-    report: LoadReport | None = None
-
-
 class Dispatcher:
     """Chooses targets by their expected finish, near ones first.
 
--- a/packages/damasktide/src/damasktide/dispatch/tests/samples.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/samples.py
@@ -1,6 +1,7 @@
 """Targets and services for the tests of this slice."""
 
-from damasktide.dispatch.dispatcher import Dispatcher, Wanted
+from damasktide.dispatch.dispatcher import Dispatcher
+from damasktide.dispatch.messages import Wanted
 from damasktide.routing.configuration import Service
 from damasktide.targets.target import TargetEntry, TargetState, TargetView
 
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
@@ -3,7 +3,7 @@
 import unittest
 
 from damasktide.dispatch.cold_start import ColdStartLimiter, Instances
-from damasktide.dispatch.dispatcher import Chosen, NoTargetReason, NotChosen, SendOutcome
+from damasktide.dispatch.messages import Chosen, NoTargetReason, NotChosen, SendOutcome
 from damasktide.dispatch.tests.samples import SERVICE, dispatcher, target, view, wanted
 
 PER_S = 8.0
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_failing_targets.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_failing_targets.py
@@ -2,13 +2,8 @@
 
 import unittest
 
-from damasktide.dispatch.dispatcher import (
-    Chosen,
-    Dispatcher,
-    NoTargetReason,
-    NotChosen,
-    SendOutcome,
-)
+from damasktide.dispatch.dispatcher import Dispatcher
+from damasktide.dispatch.messages import Chosen, NoTargetReason, NotChosen, SendOutcome
 from damasktide.dispatch.tests.samples import dispatcher, target, view, wanted
 
 CALL_S = 0.2
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_overload.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_overload.py
@@ -2,14 +2,9 @@
 
 import unittest
 
-from damasktide.dispatch.dispatcher import (
-    Chosen,
-    Dispatcher,
-    NoTargetReason,
-    NotChosen,
-    SendOutcome,
-)
+from damasktide.dispatch.dispatcher import Dispatcher
 from damasktide.dispatch.load_estimate import LoadReport
+from damasktide.dispatch.messages import Chosen, NoTargetReason, NotChosen, SendOutcome
 from damasktide.dispatch.tests.samples import OBJECTIVE_S, SLOTS, dispatcher, target, wanted
 
 CALL_S = 0.2
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -8,15 +8,9 @@
 from gevent.queue import Queue
 from loguru import logger
 
-from damasktide.dispatch.dispatcher import (
-    Chosen,
-    Dispatcher,
-    NoTargetReason,
-    NotChosen,
-    SendOutcome,
-    Wanted,
-)
+from damasktide.dispatch.dispatcher import Dispatcher
 from damasktide.dispatch.load_estimate import LoadReport
+from damasktide.dispatch.messages import Chosen, NoTargetReason, NotChosen, SendOutcome, Wanted
 from damasktide.dispatch.retry_allowance import RetryAllowance
 from damasktide.gateway.admission import GatewayRequest
 from damasktide.gateway.call import Answered, TargetCall
--- a/packages/damasktide/src/damasktide/gateway/sends.py
+++ b/packages/damasktide/src/damasktide/gateway/sends.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from damasktide.dispatch.dispatcher import Chosen
+from damasktide.dispatch.messages import Chosen
 from damasktide.gateway.call import Answered, TargetCall
 
 
--- a/packages/damasktide/src/damasktide/loads/tests/test_board.py
+++ b/packages/damasktide/src/damasktide/loads/tests/test_board.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from damasktide.dispatch.dispatcher import Chosen
 from damasktide.dispatch.load_estimate import LoadReport
+from damasktide.dispatch.messages import Chosen
 from damasktide.dispatch.tests.samples import SLOTS, dispatcher, target, wanted
 from damasktide.loads.board import KEPT_S, LoadBoard
 from damasktide.loads.codec import MalformedReportsError, decode_reports, encode_reports
