Leave a target out whose address leads to another server

Targets ended without notice, their addresses went to another service, and the answers with 421 were learned as fast answers: 561 sends in 2.3 s went to six targets that no longer existed, and 311 of 2,185 requests were refused. Ruled out: keys without a holder, and the change of the leader before it (both in the log).

Change: 421 of a service without keys ends the target's life here; for services with keys it counts neither as an answer nor as a loss.

--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -140,7 +140,9 @@
         estimate.call_ends(now, is_answered=not is_lost)
         if outcome.is_unreachable:
             estimate.take_unreachable(now)
-        if outcome.is_unreachable or outcome.is_abandoned:
+        if outcome.is_misdirected and not outcome.is_keyed:
+            estimate.take_replaced(now)
+        if outcome.is_unreachable or outcome.is_abandoned or outcome.is_misdirected:
             return
         estimate.take_connected()
         estimate.take_outcome(now, outcome.has_failed or outcome.is_shed)
--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -17,6 +17,8 @@
 # A target that accepts no connection is left out for this time, doubled by each further failure.
 UNREACHABLE_FIRST_S = 0.5
 UNREACHABLE_LONGEST_S = 4.0
+# A life whose address leads to another server has ended; its entry may be listed for some seconds.
+REPLACED_S = 10.0
 # After a failed connection the target may have started anew and be cold before it is listed.
 SUSPECTED_COLD_S = 2.0
 # Part by which a target with all slots taken is slower than an idle one.
@@ -141,6 +143,10 @@
         self.unreachable_until = now + min(UNREACHABLE_LONGEST_S, pause_s)
         self.suspected_cold_until = self.unreachable_until + SUSPECTED_COLD_S
 
+    def take_replaced(self, now: float) -> None:
+        """Take in that another server answers at the target's address."""
+        self.unreachable_until = max(self.unreachable_until, now + REPLACED_S)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or may be."""
         return now < self.cold_until or now < self.suspected_cold_until
--- a/packages/damasktide/src/damasktide/dispatch/messages.py
+++ b/packages/damasktide/src/damasktide/dispatch/messages.py
@@ -113,6 +113,10 @@
         Whether no response arrived.
     is_shed
         Whether the target turned the request away as full.
+    is_misdirected
+        Whether the target does not hold the key, or another server answers at its address.
+    is_keyed
+        Whether the service's keys are held by targets.
     is_unreachable
         Whether the target accepted no connection.
     is_abandoned
@@ -129,6 +133,8 @@
     has_failed: bool = False
     has_no_answer: bool = False
     is_shed: bool = False
+    is_misdirected: bool = False
+    is_keyed: bool = False
     is_unreachable: bool = False
     is_abandoned: bool = False
     load_factor: float = 1.0
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_failing_targets.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_failing_targets.py
@@ -58,6 +58,24 @@
         assert isinstance(chosen, Chosen)
         self.assertEqual(chosen.entry.target_id, "second")
 
+    def test_target_whose_address_leads_to_another_server_is_left_out(self) -> None:
+        """Guards against 421 in no time taken for a fast answer, until the entry lapses."""
+        made = dispatcher(target("ended"), target("good"))
+        made.ended(0.0, SendOutcome(target("ended"), "read", 0.002, is_misdirected=True))
+        self.assertEqual(choices(made, 0.1), {"good"})
+        self.assertEqual(choices(made, 4.0), {"good"})
+        made.set_targets(4.1, view(target("ended", life=2)))
+        self.assertIsInstance(made.choose(4.1, wanted()), Chosen)
+
+    def test_holder_without_the_key_is_neither_fast_nor_lost(self) -> None:
+        """Guards against keys refused because a new holder had not taken its grant yet."""
+        made = dispatcher(target("t1"))
+        before = made.usual_s("read", 0.8)
+        outcome = SendOutcome(target("t1"), "read", 0.002, is_misdirected=True, is_keyed=True)
+        made.ended(0.0, outcome)
+        self.assertEqual(made.usual_s("read", 0.8), before)
+        self.assertIsInstance(made.choose(0.1, wanted(owner_id="t1")), Chosen)
+
     def test_new_life_of_a_target_starts_without_history(self) -> None:
         made = dispatcher(target("t1"))
         made.ended(0.0, SendOutcome(target("t1"), "read", 0.25, is_unreachable=True))
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -274,7 +274,12 @@
         head, facts, call = answer.head, answer.facts, send.call
         if facts.is_not_run:
             call.finish()
-            self._end(send, answer, is_shed=not facts.is_misdirected)
+            self._end(
+                send,
+                answer,
+                is_shed=not facts.is_misdirected,
+                is_misdirected=facts.is_misdirected,
+            )
             cause = f"not run, status {head.status}"
             return Failed(True, cause, answer, facts.is_misdirected)
         is_success = 200 <= head.status < 300
@@ -325,6 +330,7 @@
             self._request.route.name,
             duration_s,
             load_factor=chosen.load_factor,
+            is_keyed=self._request.service.is_keyed,
             **outcome,
         )
 
