Pass on news of up to 1.7 s

A root that reads a configuration of 400 KB over a full link has no other answer of the store for up to 1.5 s; its children were refused after 1.2 s and read the same 400 KB themselves.

Change: news is refused after 1.7 s.

--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -13,8 +13,9 @@
 OTHERS_RETRY_S = 1.2
 OTHERS_LONGEST_RETRY_S = 5.0
 # Age of the store's last answer up to which it is passed on. Targets that leave and new
-# configurations must be known within 2.5 s, and a change to another source takes 0.6 s.
-MAX_AGE_S = 1.2
+# configurations must be known within 2.5 s, and a change to another source takes 0.6 s. A root
+# that reads a large configuration over a full link has no other answer for 1.5 s.
+MAX_AGE_S = 1.7
 # Each further level of the tree adds at most the wait of one call.
 MAX_AGE_A_LEVEL_S = 0.5
 
