Ask a lost store again after 0.5 s, however often it failed

Ruled out: the store, which answered at once when asked.

Change: 0.5 s between two calls, without doubling.

--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -8,10 +8,10 @@
 LEFT_OUT_FIRST_S = 2.0
 LEFT_OUT_LONGEST_S = 30.0
 # The root asks a lost store this often, and the others less often: they hear of its return from
-# the root, and each call is paid for.
+# the root, and each call is paid for. The root may be cut off alone, so they ask soon enough to
+# know a change within 2.5 s.
 ROOT_RETRY_S = 0.25
-OTHERS_RETRY_S = 1.2
-OTHERS_LONGEST_RETRY_S = 5.0
+OTHERS_RETRY_S = 0.5
 # Age of the store's last answer up to which it is passed on. Targets that leave and new
 # configurations must be known within 2.5 s, and a change to another source takes up to 0.8 s.
 MAX_AGE_S = 1.2
@@ -61,7 +61,6 @@
         self._order: tuple[RelayPeer, ...] = ()
         self._failure_by_name: dict[str, _Failure] = {}
         self._store_failed_at: float | None = None
-        self._store_failures = 0
 
     def set_order(self, order: tuple[RelayPeer, ...]) -> None:
         """Replace the instances of this failure domain, in the order of the tree."""
@@ -93,10 +92,7 @@
         """Return whether the store may be asked; a lost one is only asked now and then."""
         if self._store_failed_at is None:
             return True
-        pause_s = ROOT_RETRY_S
-        if self.source(now) is not None:
-            doubled_s = OTHERS_RETRY_S * 2.0 ** (self._store_failures - 1)
-            pause_s = min(OTHERS_LONGEST_RETRY_S, doubled_s)
+        pause_s = ROOT_RETRY_S if self.source(now) is None else OTHERS_RETRY_S
         return now >= self._store_failed_at + pause_s
 
     def peer_failed(self, now: float, name: str) -> None:
@@ -116,12 +112,10 @@
     def store_failed(self, now: float) -> None:
         """Take in that the store did not answer."""
         self._store_failed_at = now
-        self._store_failures += 1
 
     def store_answered(self) -> None:
         """Take in an answer of the store."""
         self._store_failed_at = None
-        self._store_failures = 0
 
     def _left_out(self, now: float) -> frozenset[str]:
         return frozenset(
