Do not take the loss of a source's store for an outage

Ruled out: news that came late (the drop was known 0.4 s after it).

Change: an instance that passes news on says no more that it lost the store. Whoever asks it notices an outage by its own call, because news older than 1.2 s is refused.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -127,9 +127,7 @@
         self._loads: LoadExchange | None = None
         self._life_by_hash: dict[int, tuple[str, int]] = {}
         if listen is not None:
-            news = NewsServer(
-                self._snapshots, lambda: self._targets.follower.outages, LeaseClock()
-            )
+            news = NewsServer(self._snapshots, LeaseClock())
             self._exchange = RelayExchange(settings.instance, boot, listen, news, fail)
             self._loads = LoadExchange(settings.instance, self._exchange, self._loads_heard, fail)
         self._targets = TargetTask(
--- a/packages/damasktide/src/damasktide/relay/codec.py
+++ b/packages/damasktide/src/damasktide/relay/codec.py
@@ -77,7 +77,6 @@
 def _fill(changes: Any, news: RelayedChanges) -> None:
     changes.version = news.version
     changes.ageS = news.age_s
-    changes.outages = news.outages
     rows = changes.init("rows", len(news.rows))
     for target, row in zip(rows, news.rows, strict=True):
         target.key = row.key
@@ -90,7 +89,7 @@
     rows = tuple(
         Row(row.key, bytes(row.value), row.version, row.isDropped) for row in changes.rows
     )
-    return RelayedChanges(rows, changes.version, changes.ageS, changes.outages)
+    return RelayedChanges(rows, changes.version, changes.ageS)
 
 
 def _decompressed(data: bytes) -> bytes:
--- a/packages/damasktide/src/damasktide/relay/messages.capnp
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -18,8 +18,7 @@
 struct Changes {
   version @0 :UInt64;
   ageS @1 :Float64;
-  outages @2 :UInt32;
-  rows @3 :List(Row);
+  rows @2 :List(Row);
 }
 
 struct Row {
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -39,14 +39,11 @@
         Version of the store up to which they are complete.
     age_s
         Age of the store's last answer about the table, in seconds.
-    outages
-        How often the answering process has lost the store.
     """
 
     rows: tuple[Row, ...]
     version: int
     age_s: float
-    outages: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -7,7 +7,7 @@
 import gevent
 
 from damasktide.relay.exchange import RelayExchange
-from damasktide.relay.messages import NewsRefused, RelayedChanges
+from damasktide.relay.messages import NewsRefused
 from damasktide.relay.sources import RelaySource
 from damasktide.rows.store import (
     Changes,
@@ -46,7 +46,6 @@
     def __init__(self, store: RowStore, exchange: RelayExchange) -> None:
         self._store = store
         self._exchange = exchange
-        self._outages_by_peer: dict[str, int] = {}
         self._is_interrupted = False
 
     def read_table(self, table: str) -> TableState:
@@ -61,8 +60,6 @@
         try:
             return self._asked(lambda: self._store.wait_for_changes(table, after, wait_s))
         except StoreUnavailableError:
-            # The reader takes this for an outage, so those of others before now are past.
-            self._outages_by_peer.clear()
             found = self._substitute_news(table, after)
             if found is None:
                 raise
@@ -117,17 +114,5 @@
         news = self._exchange.ask_peer(source, table, after, min(wait_s, LONGEST_RELAY_WAIT_S))
         if isinstance(news, NewsRefused):
             return None
-        name = source.peer.name
-        self._exchange.sources.peer_answered(name)
-        self._check_outages(name, news)
+        self._exchange.sources.peer_answered(source.peer.name)
         return Changes(news.rows, news.version, news.age_s)
-
-    def _check_outages(self, name: str, news: RelayedChanges) -> None:
-        """Fail once if the answering instance has lost the store since its last answer.
-
-        The reader then treats entries that lapse as it does after an outage of its own.
-        """
-        before = self._outages_by_peer.get(name, news.outages)
-        self._outages_by_peer[name] = news.outages
-        if before != news.outages:
-            raise StoreUnavailableError(f"{name} had lost the store", is_certain=True)
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -1,6 +1,6 @@
 """Answers other instances from the snapshots of this one."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from loguru import logger
 
@@ -27,15 +27,12 @@
     ----------
     snapshots
         Snapshot of each table.
-    outages
-        Returns how often this process has lost the store.
     clock
         Lease clock.
     """
 
-    def __init__(self, snapshots: Snapshots, outages: Callable[[], int], clock: Clock) -> None:
+    def __init__(self, snapshots: Snapshots, clock: Clock) -> None:
         self._snapshots = snapshots
-        self._outages = outages
         self._clock = clock
 
     def serve(self, sender_id: str, body: bytes) -> bytes:
@@ -66,7 +63,7 @@
             rows = snapshot.rows_after(wanted.after)
             if rows or now >= until:
                 age_s = max(0.0, now - snapshot.asked_at)
-                return RelayedChanges(rows, snapshot.version, age_s, self._outages())
+                return RelayedChanges(rows, snapshot.version, age_s)
             # An asker must not wait on when this instance has lost the store itself.
             published.wait_beyond(snapshot, min(until, fresh_until + RECHECK_S) - now)
 
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -140,7 +140,6 @@
         self._version: int | None = None
         self._pause_s = RETRY_FIRST_S
         self._is_lost = False
-        self.outages = 0
         self._due_at = 0.0
         self._clock = LeaseClock()
         self._random = Random()
@@ -210,7 +209,6 @@
     def _lose(self, detail: str) -> None:
         if not self._is_lost:
             self._is_lost = True
-            self.outages += 1
             logger.bind(table=self._table, detail=detail).warning("lost the store")
             self._on_contact(StoreLost(self._table, detail))
         self._due_at = monotonic() + self._pause_s * self._random.uniform(0.5, 1.0)
