Group the registered instances once; keep only the last late answer

Three places grouped the instances by failure domain; Members does it now. The record of slow orders kept each with a duration that nothing read; the last one decides. The two readings of the board of loads share what they tell.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -1,6 +1,5 @@
 """A gateway instance: its tasks, its listeners and its graceful stop."""
 
-from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from time import monotonic, time
@@ -252,15 +251,17 @@
     def _members_changed(self, members: Members) -> None:
         if self._exchange is None or members.link_key is None:
             return
-        peers_by_domain: dict[str, list[RelayPeer]] = defaultdict(list)
-        for record in members.record_by_name.values():
-            if record.address is not None:
-                peers_by_domain[record.domain].append(
-                    RelayPeer(record.name, record.address, record.link_mbps)
-                )
-        near = peers_by_domain.pop(self._settings.domain, [])
-        roots = tuple(relay_order(peers)[0] for peers in peers_by_domain.values())
-        self._exchange.tell(RelayGroup(members.link_key, tuple(near), roots))
+        peers_by_domain = {
+            domain: tuple(
+                RelayPeer(record.name, record.address, record.link_mbps)
+                for record in records
+                if record.address is not None
+            )
+            for domain, records in members.records_by_domain().items()
+        }
+        near = peers_by_domain.pop(self._settings.domain, ())
+        roots = tuple(relay_order(peers)[0] for peers in peers_by_domain.values() if peers)
+        self._exchange.tell(RelayGroup(members.link_key, near, roots))
 
     def _load_reported(self, life: tuple[str, int], report: LoadReport) -> None:
         if self._loads is not None:
--- a/packages/damasktide/src/damasktide/keyspace/keeper_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/keeper_task.py
@@ -88,6 +88,13 @@
     record_by_name: Mapping[str, InstanceRecord]
     link_key: bytes | None = None
 
+    def records_by_domain(self) -> Mapping[str, list[InstanceRecord]]:
+        """Return the instances of each failure domain."""
+        records_by_domain: dict[str, list[InstanceRecord]] = defaultdict(list)
+        for record in self.record_by_name.values():
+            records_by_domain[record.domain].append(record)
+        return records_by_domain
+
 
 @dataclass(frozen=True, slots=True)
 class Resign:
@@ -270,12 +277,11 @@
             self._publish_members()
 
     def _publish_members(self) -> None:
-        names_by_domain: dict[str, set[str]] = defaultdict(set)
-        for record in self._record_by_name.values():
-            names_by_domain[record.domain].add(record.name)
-        self.instances.publish(
-            Instances({domain: frozenset(names) for domain, names in names_by_domain.items()})
-        )
+        names_by_domain = {
+            domain: frozenset(record.name for record in records)
+            for domain, records in self._members.records_by_domain().items()
+        }
+        self.instances.publish(Instances(names_by_domain))
         is_standby = self._name in self._standbys() or self._name not in self._record_by_name
         self._leader_follower.set_pace(STANDBY_PACE if is_standby else BYSTANDER_PACE)
         gap_s = 0.0 if is_standby else BYSTANDER_GAP_S
@@ -290,13 +296,11 @@
         return sorted(self._roots())[:STANDBYS]
 
     def _roots(self) -> Iterator[str]:
-        peers_by_domain: dict[str, list[RelayPeer]] = defaultdict(list)
-        for record in self._record_by_name.values():
-            address = record.address or ("", 0)
-            peers_by_domain[record.domain].append(
-                RelayPeer(record.name, address, record.link_mbps)
-            )
-        for peers in peers_by_domain.values():
+        for records in self._members.records_by_domain().values():
+            peers = [
+                RelayPeer(record.name, record.address or ("", 0), record.link_mbps)
+                for record in records
+            ]
             yield relay_order(peers)[0].name
 
     def _hand_out(self, order: Order) -> None:
--- a/packages/damasktide/src/damasktide/keyspace/path_delay.py
+++ b/packages/damasktide/src/damasktide/keyspace/path_delay.py
@@ -1,8 +1,6 @@
 """How long an order may still stand in the queue of a link after it was given up."""
 
-from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 # Bytes that were sent before a connection was reset may still arrive for this time.
 LAST_ARRIVAL_S = 0.15
@@ -14,14 +12,8 @@
 REMEMBERED_S = 6.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Exchange:
-    ended_at: float
-    duration_s: float
-
-
 class PathDelay:
-    """Remembers how long orders to the targets of each region took.
+    """Remembers when orders to the targets of each region were last answered late.
 
     Parameters
     ----------
@@ -31,13 +23,14 @@
 
     def __init__(self, region_by_domain: Mapping[str, str]) -> None:
         self._region_by_domain = region_by_domain
-        self._slow_by_region: dict[str, deque[_Exchange]] = {}
+        self._late_at_by_region: dict[str, float] = {}
 
     def answered(self, ended_at: float, domain: str, duration_s: float) -> None:
         """Take in an order that was answered."""
         if duration_s >= QUEUED_ANSWER_S:
-            slow = self._slow_by_region.setdefault(self._region(domain), deque())
-            slow.append(_Exchange(ended_at, duration_s))
+            region = self._region(domain)
+            before = self._late_at_by_region.get(region, ended_at)
+            self._late_at_by_region[region] = max(before, ended_at)
 
     def last_arrival_s(self, now: float, domain: str) -> float:
         """Return for how long after its end an order to ``domain`` may still arrive.
@@ -45,10 +38,8 @@
         A region whose targets answer late has a link that is full. One whose targets all fell
         silent without answering late before is cut off or lost, and nothing is on its way.
         """
-        slow = self._slow_by_region.get(self._region(domain))
-        while slow and slow[0].ended_at < now - REMEMBERED_S:
-            slow.popleft()
-        return FULL_LINK_ARRIVAL_S if slow else LAST_ARRIVAL_S
+        late_at = self._late_at_by_region.get(self._region(domain), float("-inf"))
+        return FULL_LINK_ARRIVAL_S if late_at >= now - REMEMBERED_S else LAST_ARRIVAL_S
 
     def _region(self, domain: str) -> str:
         return self._region_by_domain.get(domain, domain)
--- a/packages/damasktide/src/damasktide/loads/board.py
+++ b/packages/damasktide/src/damasktide/loads/board.py
@@ -1,6 +1,6 @@
 """The newest report of each target, and who told it; a state machine."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from damasktide.dispatch.load_estimate import LoadReport
@@ -56,19 +56,11 @@
 
     def fresh(self, now: float, left_out: frozenset[str]) -> list[HeardReport]:
         """Return the reports that were not told by an instance in ``left_out``."""
-        return [
-            HeardReport(life, entry.report, now - entry.made_at)
-            for life, entry in self._entry_by_life.items()
-            if now - entry.made_at <= KEPT_S and entry.source not in left_out
-        ]
+        return self._told(now, lambda source: source not in left_out)
 
     def told_by(self, now: float, source: str) -> list[HeardReport]:
         """Return the reports that ``source`` told."""
-        return [
-            HeardReport(life, entry.report, now - entry.made_at)
-            for life, entry in self._entry_by_life.items()
-            if now - entry.made_at <= KEPT_S and entry.source == source
-        ]
+        return self._told(now, lambda teller: teller == source)
 
     def forget_old(self, now: float) -> None:
         """Drop reports that are too old to be told."""
@@ -78,6 +70,13 @@
             if now - entry.made_at <= KEPT_S
         }
 
+    def _told(self, now: float, is_wanted: Callable[[str], bool]) -> list[HeardReport]:
+        return [
+            HeardReport(life, entry.report, now - entry.made_at)
+            for life, entry in self._entry_by_life.items()
+            if now - entry.made_at <= KEPT_S and is_wanted(entry.source)
+        ]
+
 
 def _is_full(report: LoadReport) -> bool:
     return report.running + report.waiting >= report.slots
