Hold the stand-in's only slot until the test lets it go

The test took 20 ms to be enough for the first request to hold the slot and 60 ms for the second one to meet it; on a busy machine the second request found the slot free and ran. Ruled out: the server. The answer without Damasktide-Not-Run was that of a run. Change: the first run lasts until it is cancelled, the test waits for the count of requests that the server reports, and the deadline passes in the queue.

--- a/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
+++ b/packages/damasktide-standins/src/damasktide_standins/backend_server/tests/test_server.py
@@ -37,6 +37,12 @@
         headers = {"Idempotency-Key": request_id, "Damasktide-Shard": "4"} | headers
         return self.http.request("POST", f"{base}/desk/book/k1", headers=headers, body=b"x")
 
+    def await_in_flight(self, base: str, count: int) -> None:
+        """Wait until the server holds this many requests, running or queued."""
+        with gevent.Timeout(10):
+            while self.http.request("GET", f"{base}/damasktide/load").json()["in_flight"] != count:
+                gevent.sleep(0.005)
+
     def executions(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
@@ -74,12 +80,16 @@
 
     def test_deadline_that_passes_in_the_queue_means_not_run(self) -> None:
         """Guards against work for a caller that has given up."""
-        base = self.serve(checked=False, slots=1, service_time_ms=60)
-        first = gevent.spawn(self.book, base, "r1")
+        # The first run holds the only slot until it is cancelled, however slow the machine is.
+        base = self.serve(checked=False, slots=1, service_time_ms=60_000)
+        gevent.spawn(self.book, base, "r1")
+        self.await_in_flight(base, 1)
+        late = gevent.spawn(self.book, base, "r2", **{"Damasktide-Deadline-Ms": "10"})
+        self.await_in_flight(base, 2)
         gevent.sleep(0.02)
-        late = self.book(base, "r2", **{"Damasktide-Deadline-Ms": "10"})
-        self.assertEqual((late.status, late.headers["Damasktide-Not-Run"]), (504, "1"))
-        first.join()
+        self.http.request("DELETE", f"{base}/damasktide/requests/r1")
+        answer = late.get(timeout=10)
+        self.assertEqual((answer.status, answer.headers.get("Damasktide-Not-Run")), (504, "1"))
         self.assertEqual([run["request_id"] for run in self.executions()], ["r1"])
 
     def test_cancelled_request_has_no_effect(self) -> None:
