Ask a slow store sooner, so that its answers stay young enough to be passed on

Cause: while the store answers slowly, the gap of 0.6 s between two calls comes on top of the answer's own time at both ends, so the list of targets that the root of a failure domain passes on was older than 1.2 s most of the time, and each machine asked the store for itself. Ruled out: a gap from the start of each call. Change: the gap is what is left of 1.2 s after two answers like the last one, at most 0.6 s; answers of up to 0.3 s leave it whole.

--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -37,17 +37,23 @@
         after it, so it is short for a table that changes all the time.
     relayed_gap_s
         Shortest time between two calls to another instance, which answers when there is news.
+    longest_age_s
+        Age below which the last answer is to stay until the next one comes, if need be by a
+        shorter gap: a slow store would make it too old to be passed on otherwise.
     """
 
     gap_s: float
     wait_s: float
     relayed_gap_s: float = 0.02
+    longest_age_s: float = float("inf")
 
 
+# Shortest gap of calls to a store that is slow.
+SHORTEST_GAP_S = 0.05
 # While the store is lost, a call that waits may hang in a connection that went silent.
 LOST_WAIT_S = 0.3
 # Check-ins of targets change their table many times a second.
-BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=0.4)
+BUSY_TABLE = FollowPace(gap_s=0.6, wait_s=0.4, longest_age_s=1.2)
 # Changes of operators and of the key maps are rare, and are to be seen at once.
 QUIET_TABLE = FollowPace(gap_s=0.05, wait_s=4.0)
 
@@ -180,12 +186,16 @@
     def _call(self, asked_at: float) -> FollowerMessage:
         if self._version is None:
             return self._read(asked_at)
-        changes = self._store.wait_for_changes(self._table, self._version, self._wait_s())
+        started_at = monotonic()
+        wait_s = self._wait_s()
+        changes = self._store.wait_for_changes(self._table, self._version, wait_s)
         if self._version is not None:
             self._version = max(self._version, changes.version)
-        is_relayed = changes.relayed_age_s is not None
-        gap_s = self._pace.relayed_gap_s if is_relayed else self._pace.gap_s
-        self._due_at = monotonic() + gap_s
+        if changes.relayed_age_s is None:
+            # An answer without rows has waited for them all the time.
+            self._due_at = self._due_after_call(started_at, 0.0 if changes.rows else wait_s)
+        else:
+            self._due_at = monotonic() + self._pace.relayed_gap_s
         asked_at -= changes.relayed_age_s or 0.0
         known = self.snapshot.value
         assert known is not None
@@ -193,9 +203,10 @@
         return TableChanged(self._table, changes, asked_at)
 
     def _read(self, asked_at: float) -> FollowerMessage:
+        started_at = monotonic()
         state = self._store.read_table(self._table)
         self._version = state.version
-        self._due_at = monotonic() + self._pace.gap_s
+        self._due_at = self._due_after_call(started_at)
         known = self.snapshot.value
         if known is None:
             self.snapshot.publish(TableSnapshot.of(state, asked_at, self._essence))
@@ -203,6 +214,16 @@
             self.snapshot.publish(known.reread(state, asked_at, self._essence))
         return TableRead(self._table, state, asked_at)
 
+    def _due_after_call(self, started_at: float, waited_s: float = 0.0) -> float:
+        """Return when the store is to be called again.
+
+        The next answer is taken to need as long as the last one, which is as old as its call.
+        """
+        now = monotonic()
+        answer_s = now - started_at - waited_s
+        fresh_gap_s = max(SHORTEST_GAP_S, self._pace.longest_age_s - 2.0 * answer_s)
+        return now + min(self._pace.gap_s, fresh_gap_s)
+
     def _wait_s(self) -> float:
         return min(LOST_WAIT_S, self._pace.wait_s) if self._is_lost else self._pace.wait_s
 
