Let an instance of a large domain that starts read the large tables from another one

Twenty-nine machines of the far region share a link of 30 Mbit/s; each one that starts, and each one whose sources know nothing fresh, fetches a configuration of 0.7 MB over it. A call to the store that waits 4 s outlasts the moment in which the sources knew nothing fresh, and is then answered with the whole change. Ruled out: the size of what instances pass on to each other, which is compressed. Change: beyond the first four instances of a failure domain, one that starts asks its source for the operators' table and the list of targets for up to 1.5 s before it reads the store, and a call to the store beside others waits 0.5 s at most. Failure domains of up to four instances do as before.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -130,7 +130,7 @@
             self._exchange = RelayExchange(settings.instance, boot, listen, news, fail)
             self._loads = LoadExchange(settings.instance, self._exchange, self._loads_heard, fail)
         self._targets = TargetTask(
-            self._open_store(adapter),
+            self._open_store(adapter, is_large=True),
             adapter.target_table,
             adapter.decode_target,
             self._targets_changed,
@@ -148,7 +148,7 @@
             fail,
         )
         self._routing = RoutingTask(
-            self._open_store(adapter),
+            self._open_store(adapter, is_large=True),
             adapter.operator_table,
             adapter.decode_statement,
             self._configured,
@@ -200,10 +200,10 @@
         """Begin a graceful stop."""
         self._lifecycle.tell(BeginDrain(reason))
 
-    def _open_store(self, adapter: PlatformAdapter) -> RowStore:
+    def _open_store(self, adapter: PlatformAdapter, is_large: bool = False) -> RowStore:
         if self._exchange is None:
             return adapter.open_store()
-        return RelayedStore(adapter.open_store(), self._exchange)
+        return RelayedStore(adapter.open_store(), self._exchange, is_large)
 
     def _parts(self, adapter: PlatformAdapter, registry: CollectorRegistry) -> GatewayParts:
         return GatewayParts(
--- a/packages/damasktide/src/damasktide/relay/codec.py
+++ b/packages/damasktide/src/damasktide/relay/codec.py
@@ -27,7 +27,11 @@
 def encode_wanted(wanted: NewsWanted) -> bytes:
     """Return the message of ``wanted``."""
     message = _SCHEMA.NewsWanted.new_message(
-        table=wanted.table, after=wanted.after, waitS=wanted.wait_s, maxAgeS=wanted.max_age_s
+        table=wanted.table,
+        after=wanted.after,
+        waitS=wanted.wait_s,
+        maxAgeS=wanted.max_age_s,
+        isWhole=wanted.is_whole,
     )
     return bytes(message.to_bytes())
 
@@ -42,7 +46,9 @@
     """
     try:
         with _SCHEMA.NewsWanted.from_bytes(data) as message:
-            return NewsWanted(message.table, message.after, message.waitS, message.maxAgeS)
+            return NewsWanted(
+                message.table, message.after, message.waitS, message.maxAgeS, message.isWhole
+            )
     except (capnp.KjException, ValueError) as error:
         raise MalformedNewsError(str(error)) from error
 
--- a/packages/damasktide/src/damasktide/relay/exchange.py
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -12,7 +12,7 @@
 from damasktide.relay.codec import MalformedNewsError, decode_news, encode_wanted
 from damasktide.relay.messages import News, NewsRefused, NewsWanted
 from damasktide.relay.server import NEWS_KIND, NewsServer
-from damasktide.relay.sources import RelaySource, RelaySources
+from damasktide.relay.sources import RelaySources
 from damasktide.relay.tree import RelayPeer, relay_order
 from damasktide.runtime.registry import Registry
 from damasktide.runtime.task import Task, TaskFailed, handles
@@ -76,14 +76,12 @@
         self._server: PeerServer | None = None
         self._client: PeerClient | None = None
 
-    def ask_peer(self, source: RelaySource, table: str, after: int, wait_s: float) -> News:
-        """Ask another instance what changed in a table; refused if it does not answer."""
+    def ask_peer(self, peer: RelayPeer, wanted: NewsWanted) -> News:
+        """Ask another instance about a table; refused if it does not answer."""
         if self._client is None:
             return NewsRefused("no links yet")
-        peer = source.peer
-        wanted = encode_wanted(NewsWanted(table, after, wait_s, source.max_age_s))
-        timeout_s = wait_s + ANSWER_MARGIN_S
-        result = self._client.call(*peer.address, NEWS_KIND, wanted, timeout_s)
+        timeout_s = wanted.wait_s + ANSWER_MARGIN_S
+        result = self._client.call(*peer.address, NEWS_KIND, encode_wanted(wanted), timeout_s)
         if isinstance(result, Failure):
             self._failed(peer, result.failure().reason)
             return NewsRefused("no answer")
--- a/packages/damasktide/src/damasktide/relay/messages.capnp
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -6,6 +6,7 @@
   after @1 :UInt64;
   waitS @2 :Float64;
   maxAgeS @3 :Float64;
+  isWhole @4 :Bool;
 }
 
 struct News {
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -19,12 +19,15 @@
         Longest time to wait for a change, in seconds.
     max_age_s
         Greatest age of the store's last answer that the asker accepts, in seconds.
+    is_whole
+        Whether all rows of the table are asked for, at once; ``after`` and ``wait_s`` say nothing.
     """
 
     table: str
     after: int
     wait_s: float
     max_age_s: float
+    is_whole: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -5,9 +5,10 @@
 from typing import TypeVar
 
 import gevent
+from loguru import logger
 
 from damasktide.relay.exchange import RelayExchange
-from damasktide.relay.messages import NewsRefused
+from damasktide.relay.messages import NewsRefused, NewsWanted, RelayedChanges
 from damasktide.relay.sources import RelaySource
 from damasktide.rows.store import (
     Changes,
@@ -25,6 +26,19 @@
 SOURCE_PATIENCE_S = 0.4
 SOURCE_RETRY_S = 0.15
 
+# Wait of a call to the store by an instance that others of a large failure domain go before. A
+# waiting call is answered over the link between the regions, so one that outlasts the moment in
+# which the sources knew nothing fresh would bring each large change once more.
+DIRECT_WAIT_S = 0.5
+
+# An instance that starts waits this long to learn of the others, by one small answer of the store.
+INSTANCES_WAIT_S = 0.5
+INSTANCES_POLL_S = 0.02
+# In a large failure domain an instance that starts waits this long for a table from another one.
+# After a loss of power all start at once, and a table of 0.7 MB for each of 29 instances takes
+# over 5 s of a link of 30 Mbit/s.
+WHOLE_PATIENCE_S = 1.5
+
 # A source that fell silent is noticed by the first call that it does not answer, which ends the
 # others, so only the table that changes all the time needs short waits.
 LONGEST_RELAY_WAIT_S = 4.0
@@ -33,7 +47,8 @@
 class RelayedStore:
     """Asks another instance for changes, and the store where that has none.
 
-    Complete reads and writes always go to the store.
+    Writes always go to the store, and so do complete reads but for the first one of a large table
+    in a large failure domain.
 
     Parameters
     ----------
@@ -41,15 +56,21 @@
         Client of the store.
     exchange
         Links to other instances.
+    is_large
+        Whether the table is so large that an instance that starts asks another one for it.
     """
 
-    def __init__(self, store: RowStore, exchange: RelayExchange) -> None:
+    def __init__(self, store: RowStore, exchange: RelayExchange, is_large: bool = False) -> None:
         self._store = store
         self._exchange = exchange
+        self._asks_for_whole = is_large
         self._is_interrupted = False
 
     def read_table(self, table: str) -> TableState:
         """See :meth:`damasktide.rows.store.RowStore.read_table`."""
+        asks_for_whole, self._asks_for_whole = self._asks_for_whole, False
+        if asks_for_whole and (found := self._whole_table(table)) is not None:
+            return found
         return self._asked(lambda: self._store.read_table(table))
 
     def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
@@ -57,6 +78,8 @@
         found = self._news(table, after, wait_s)
         if found is not None:
             return found
+        if self._exchange.sources.waits_for_others:
+            wait_s = min(wait_s, DIRECT_WAIT_S)
         try:
             return self._asked(lambda: self._store.wait_for_changes(table, after, wait_s))
         except StoreUnavailableError:
@@ -74,6 +97,25 @@
         """See :meth:`damasktide.rows.store.RowStore.write`."""
         return self._store.write(writes, expected)
 
+    def _whole_table(self, table: str) -> TableState | None:
+        """Return the table as another instance knows it, for which it gets some time."""
+        sources = self._exchange.sources
+        known_until = monotonic() + INSTANCES_WAIT_S
+        while not sources.knows_instances and monotonic() < known_until:
+            gevent.sleep(INSTANCES_POLL_S)
+        until = monotonic() + WHOLE_PATIENCE_S
+        while sources.waits_for_others and (source := sources.source(monotonic())) is not None:
+            news = self._answer(source, NewsWanted(table, 0, 0.0, source.max_age_s, is_whole=True))
+            if news is not None:
+                logger.bind(table=table, peer=source.peer.name, version=news.version).info(
+                    "read a table from another instance"
+                )
+                return TableState(news.rows, news.version, news.age_s)
+            if monotonic() >= until:
+                return None
+            gevent.sleep(SOURCE_RETRY_S)
+        return None
+
     def _news(self, table: str, after: int, wait_s: float) -> Changes | None:
         """Return what another instance knows; sources without fresh news are asked again."""
         sources = self._exchange.sources
@@ -111,8 +153,13 @@
     def _relayed(
         self, source: RelaySource, table: str, after: int, wait_s: float
     ) -> Changes | None:
-        news = self._exchange.ask_peer(source, table, after, min(wait_s, LONGEST_RELAY_WAIT_S))
+        wait_s = min(wait_s, LONGEST_RELAY_WAIT_S)
+        news = self._answer(source, NewsWanted(table, after, wait_s, source.max_age_s))
+        return Changes(news.rows, news.version, news.age_s) if news is not None else None
+
+    def _answer(self, source: RelaySource, wanted: NewsWanted) -> RelayedChanges | None:
+        news = self._exchange.ask_peer(source.peer, wanted)
         if isinstance(news, NewsRefused):
             return None
         self._exchange.sources.peer_answered(source.peer.name)
-        return Changes(news.rows, news.version, news.age_s)
+        return news
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -54,14 +54,14 @@
             snapshot = published.value
             if snapshot is None:
                 return NewsRefused("not read yet")
-            if wanted.after < snapshot.complete_since:
+            if not wanted.is_whole and wanted.after < snapshot.complete_since:
                 return NewsRefused("changes are no longer known")
             now = self._clock.now()
             fresh_until = latest_asked_at(self._all()) + wanted.max_age_s
             if now > fresh_until:
                 return NewsRefused("no fresh answer of the store")
-            rows = snapshot.rows_after(wanted.after)
-            if rows or now >= until:
+            rows = snapshot.rows if wanted.is_whole else snapshot.rows_after(wanted.after)
+            if rows or now >= until or wanted.is_whole:
                 age_s = max(0.0, now - snapshot.asked_at)
                 return RelayedChanges(rows, snapshot.version, age_s)
             # An asker must not wait on when this instance has lost the store itself.
--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -88,6 +88,17 @@
             return None
         return RelaySource(self._order[1], MAX_AGE_S)
 
+    @property
+    def knows_instances(self) -> bool:
+        """Whether the instances of the failure domain are known yet."""
+        return bool(self._order)
+
+    @property
+    def waits_for_others(self) -> bool:
+        """Whether others of a larger failure domain are to ask the store before this one."""
+        first = self._order[: 1 + ASK_AT_ONCE]
+        return len(self._order) > len(first) and self._name not in {peer.name for peer in first}
+
     def may_ask_store(self, now: float) -> bool:
         """Return whether the store may be asked; a lost one is only asked now and then."""
         if self._store_failed_at is None:
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -15,9 +15,9 @@
     encode_wanted,
 )
 from damasktide.relay.messages import News, NewsRefused, NewsWanted, RelayedChanges
-from damasktide.relay.relayed_store import RelayedStore
+from damasktide.relay.relayed_store import DIRECT_WAIT_S, RelayedStore
 from damasktide.relay.server import NewsServer
-from damasktide.relay.sources import MAX_AGE_S, OTHERS_RETRY_S, RelaySource, RelaySources
+from damasktide.relay.sources import MAX_AGE_S, OTHERS_RETRY_S, RelaySources
 from damasktide.relay.tree import RelayPeer, relay_order
 from damasktide.rows.snapshot import TableSnapshot, whole_value
 from damasktide.rows.store import (
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self.calls = 0
+        self.waits_s: list[float] = []
         self.is_down = False
 
     def read_table(self, table: str) -> TableState:
@@ -52,6 +53,7 @@
 
     def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
         self._call()
+        self.waits_s.append(wait_s)
         return Changes((), after)
 
     def interrupt(self) -> None:
@@ -76,8 +78,8 @@
         self.news = news
         self.asked: list[str] = []
 
-    def ask_peer(self, source: RelaySource, table: str, after: int, wait_s: float) -> News:
-        self.asked.append(source.peer.name)
+    def ask_peer(self, peer: RelayPeer, wanted: NewsWanted) -> News:
+        self.asked.append(peer.name)
         return self.news
 
 
@@ -135,6 +137,56 @@
         exchange.news = changes(12)
         self.assertEqual(client.wait_for_changes(TABLE, 9, 1.0).version, 12)
 
+    def test_call_beside_others_does_not_outlast_the_moment_without_fresh_news(self) -> None:
+        """Guards against each machine of a region fetching a large change from the store."""
+        for name, longest_s in ((OTHER, DIRECT_WAIT_S), (ROOT, 4.0)):
+            self.store.waits_s.clear()
+            client, _ = self.client(name, NewsRefused("no fresh answer of the store"))
+            client.wait_for_changes(TABLE, 5, 4.0)
+            self.assertEqual(self.store.waits_s, [longest_s])
+
+
+class TestStartInALargeDomain(unittest.TestCase):
+    """First reads of tables after a restart, or after a loss of power."""
+
+    def setUp(self) -> None:
+        self.store = FakeStore()
+
+    def client(self, name: str, news: News, is_large: bool = True) -> RelayedStore:
+        self.exchange = FakeExchange(name, news)
+        return RelayedStore(self.store, self.exchange, is_large)  # type: ignore[arg-type]
+
+    def test_table_comes_from_another_instance(self) -> None:
+        """Guards against a link between regions full of the same large table."""
+        state = self.client(OTHER, changes()).read_table(TABLE)
+        self.assertEqual((state.version, state.relayed_age_s), (9, 0.4))
+        self.assertEqual([row.value for row in state.rows], [b"new"])
+        self.assertEqual(self.store.calls, 0)
+
+    def test_first_instances_and_small_tables_read_from_the_store(self) -> None:
+        for name, is_large in ((ROOT, True), (ORDER[1].name, True), (OTHER, False)):
+            self.store.calls = 0
+            client = self.client(name, changes(), is_large)
+            self.assertIsNone(client.read_table(TABLE).relayed_age_s)
+            self.assertEqual((self.store.calls, self.exchange.asked), (1, []))
+
+    def test_small_domain_reads_from_the_store(self) -> None:
+        client = self.client(ORDER[3].name, changes())
+        self.exchange.sources.set_order(ORDER[:4])
+        self.assertIsNone(client.read_table(TABLE).relayed_age_s)
+
+    def test_store_is_read_when_no_other_instance_has_the_table_in_time(self) -> None:
+        """Guards against a start that waits for instances which know nothing either."""
+        client = self.client(OTHER, NewsRefused("not read yet"))
+        self.assertIsNone(client.read_table(TABLE).relayed_age_s)
+        self.assertEqual(self.store.calls, 1)
+
+    def test_lost_history_is_read_from_the_store(self) -> None:
+        """Guards against taking changes that were missed from one that may have missed them."""
+        client = self.client(OTHER, changes())
+        client.read_table(TABLE)
+        self.assertIsNone(client.read_table(TABLE).relayed_age_s)
+
 
 class TestNewsServer(unittest.TestCase):
     def setUp(self) -> None:
@@ -174,6 +226,15 @@
         self.assertIsInstance(self.ask(2), NewsRefused)
         self.assertIsInstance(self.ask(6, table="unknown"), NewsRefused)
 
+    def test_whole_table_is_told_to_an_instance_that_starts(self) -> None:
+        """Guards against refusing one that knows no version yet, and against a stale table."""
+        wanted = NewsWanted(TABLE, 0, 0.0, MAX_AGE_S, is_whole=True)
+        found = self.server.answer(wanted)
+        assert isinstance(found, RelayedChanges)
+        self.assertEqual(([row.value for row in found.rows], found.version), ([b"old"], 6))
+        self.clock.advance(MAX_AGE_S)
+        self.assertIsInstance(self.server.answer(wanted), NewsRefused)
+
     def test_waiting_call_is_answered_by_a_change(self) -> None:
         waiting = gevent.spawn(self.ask, 6, 5.0)
         gevent.sleep(0)
@@ -185,8 +246,8 @@
         self.assertEqual([row.value for row in found.rows], [b"new"])
 
     def test_messages_keep_what_they_hold(self) -> None:
-        wanted = NewsWanted(TABLE, 7, 0.5, 1.2)
-        self.assertEqual(decode_wanted(encode_wanted(wanted)), wanted)
+        for wanted in (NewsWanted(TABLE, 7, 0.5, 1.2), NewsWanted(TABLE, 0, 0.0, 1.2, True)):
+            self.assertEqual(decode_wanted(encode_wanted(wanted)), wanted)
         rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
         for news in (RelayedChanges(rows, 9, 0.25), NewsRefused("why")):
             self.assertEqual(decode_news(encode_news(news)), news)
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -207,6 +207,7 @@
         state = self._store.read_table(self._table)
         self._version = state.version
         self._due_at = self._due_after_call(started_at)
+        asked_at -= state.relayed_age_s or 0.0
         known = self.snapshot.value
         if known is None:
             self.snapshot.publish(TableSnapshot.of(state, asked_at, self._essence))
--- a/packages/damasktide/src/damasktide/rows/snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/snapshot.py
@@ -96,6 +96,11 @@
         complete_since = max((self.complete_since, *(row.version for row in forgotten)))
         return TableSnapshot(version, complete_since, asked_at, known, kept)
 
+    @property
+    def rows(self) -> tuple[Row, ...]:
+        """All rows of the table."""
+        return tuple(item.row for item in self.known_by_key.values())
+
     def rows_after(self, version: int) -> tuple[Row, ...]:
         """Return the rows that changed in essence after ``version``, in the order of change."""
         changed = [
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -57,10 +57,21 @@
 
 @dataclass(frozen=True, slots=True)
 class TableState:
-    """All rows of a table as of one version of the store."""
+    """All rows of a table.
+
+    Attributes
+    ----------
+    rows
+        The rows.
+    version
+        Version of the store as of which they are complete.
+    relayed_age_s
+        Age of the answer if another instance passed it on; None if the store itself answered.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    relayed_age_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
