Tell operators what the store says of the system and of one key

damasktidectl reads the product's own deployment; on the users' platform there was no command beside run and check. The slice inspection reads each table once through the one client and reports: status names the leader, the configuration, instances, targets, keys held and on the move, and rows that cannot be read; explain names the holder of a key and what a move of it waits for. The gateway's path of requests is unchanged.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/inspection/__init__.py
@@ -0,0 +1,1 @@
+"""What the store says of the system, for operators."""
--- /dev/null
+++ b/packages/damasktide/src/damasktide/inspection/key_report.py
@@ -0,0 +1,106 @@
+"""Who holds a key, and what a move of it waits for."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from damasktide.inspection.tables import SystemTables
+from damasktide.keyspace.key_map import KEY_COUNT, KeyRange, Life
+from damasktide.targets.target import TargetEntry, TargetState
+
+
+class UnknownKeyError(ValueError):
+    """A service that is not configured, or a key that no map can hold."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyReport:
+    """What the store says of one key.
+
+    Attributes
+    ----------
+    service, key
+        The key.
+    holder, previous
+        Ids of the target that holds the key or is to get it, and of the one that may still hold
+        it; None if there is none.
+    address, domain
+        Of the holder, if it is listed; None otherwise.
+    fence
+        Fencing token of the holder's grant; 0 without a holder.
+    map_version
+        Version of the map's row; 0 if there is none.
+    notes
+        What keeps requests for the key from being served, or that nothing does.
+    """
+
+    service: str
+    key: int
+    holder: str | None = None
+    previous: str | None = None
+    address: str | None = None
+    domain: str | None = None
+    fence: int = 0
+    map_version: int = 0
+    notes: tuple[str, ...] = ()
+
+
+def explain_key(tables: SystemTables, service: str, key: int) -> KeyReport:
+    """Return who holds ``key`` of ``service``.
+
+    Raises
+    ------
+    UnknownKeyError
+        If the service is not configured, or the key is out of range.
+    """
+    if not 0 <= key < KEY_COUNT:
+        raise UnknownKeyError(f"key {key} is not between 0 and {KEY_COUNT - 1}")
+    known = tables.configuration.service_by_name if tables.configuration is not None else {}
+    if service not in known:
+        names = ", ".join(sorted(known)) or "none"
+        raise UnknownKeyError(f"service {service!r} is not configured; configured: {names}")
+    if not known[service].is_keyed:
+        return KeyReport(service, key, notes=("the service is not keyed: any target serves it",))
+    key_map = tables.map_by_service.get(service)
+    found = key_map.find(key) if key_map is not None else None
+    version = key_map.version if key_map is not None else 0
+    if found is None:
+        note = "no target has the key yet; the leader assigns it when one is ready"
+        return KeyReport(service, key, map_version=version, notes=(note,))
+    entry = _entry(tables, found.holder)
+    return KeyReport(
+        service,
+        key,
+        holder=found.holder[0],
+        previous=found.previous[0] if found.previous is not None else None,
+        address=f"{entry.address[0]}:{entry.address[1]}" if entry is not None else None,
+        domain=entry.domain if entry is not None else None,
+        fence=found.fence,
+        map_version=version,
+        notes=tuple(_notes(tables, found, entry)) or ("the holder may serve it",),
+    )
+
+
+def _entry(tables: SystemTables, life: Life) -> TargetEntry | None:
+    return next((item for item in tables.targets if item.life == life), None)
+
+
+def _notes(tables: SystemTables, found: KeyRange, entry: TargetEntry | None) -> Iterator[str]:
+    if found.previous is not None:
+        yield (
+            f"on the move: {found.previous[0]} has not given it back yet, and its last grant may "
+            "still hold"
+        )
+    if not tables.leader.instance:
+        yield "there is no leader, so grants are not renewed and keys do not move"
+    if entry is None:
+        is_restarted = any(item.target_id == found.holder[0] for item in tables.targets)
+        yield (
+            "the holder has started anew and has lost its grants; the leader assigns the key again"
+            if is_restarted
+            else "the holder is not listed; the leader moves the key when its grants have ended"
+        )
+        return
+    if entry.state is TargetState.DRAINING:
+        yield "the holder is leaving; the leader moves its keys"
+    if entry.domain in tables.evacuated_domains:
+        yield f"failure domain {entry.domain} is evacuated; the leader moves its keys"
