Add a load and experiment tool to the emulated platform

The soak says whether promises hold; nothing of our own measured what callers get. The gateway is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 SOURCES := packages platform tooling
 SEEDS ?= 1-3
 SECONDS ?= 15
+LOAD ?=
 
-.PHONY: demo test lint format types setup clean fault-matrix measure soak
+.PHONY: demo test lint format types setup clean fault-matrix measure soak load
 
 setup: $(READY)
 
@@ -29,6 +30,9 @@
 soak: $(READY)
 	$(PYTHON) -m damasktide_platform_emulator.soak --seeds $(SEEDS) --seconds $(SECONDS)
 
+load: $(READY)
+	$(PYTHON) -m damasktide_platform_emulator.load $(LOAD)
+
 measure: $(READY)
 	$(PYTHON) -m damasktide_standins.measure --output build/measure
 
