Let the emulator's tools share what they had twice

The load tool kept idle connections by itself, beside the product's ConnectionPool; it uses that one now, which gets close_all for it.

--- a/packages/damasktide/src/damasktide/http1/pool.py
+++ b/packages/damasktide/src/damasktide/http1/pool.py
@@ -82,6 +82,13 @@
             if not idle:
                 del self._idle_by_address[address]
 
+    def close_all(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle_by_address.values():
+            for connection in idle:
+                connection.close()
+        self._idle_by_address.clear()
+
 
 def idle_limit_s(head: ResponseHead | None) -> float:
     """Return for how many seconds a connection may stay idle after a response."""
