--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -102,19 +102,13 @@
 
     def take_report(self, now: float, report: LoadReport) -> None:
         """Take in a report that arrived with a response, whose call still counts as own."""
-        total = report.running + report.waiting
         # The report was made when the answered call had left its slot.
-        self._other_calls = max(0.0, total - max(0, self.in_flight - 1))
-        self._slowdown = max(0.1, report.slowdown)
-        self._reported_at = now
+        self._take(report, max(0, self.in_flight - 1), now)
 
     def take_heard(self, now: float, report: LoadReport, age_s: float) -> None:
         """Take in a report that another instance was given ``age_s`` seconds ago."""
-        if now - age_s <= self._reported_at:
-            return
-        self._other_calls = max(0.0, report.running + report.waiting - self.in_flight)
-        self._slowdown = max(0.1, report.slowdown)
-        self._reported_at = now - age_s
+        if now - age_s > self._reported_at:
+            self._take(report, self.in_flight, now - age_s)
 
     def take_shed(self, now: float, queue_calls: int) -> None:
         """Take in that the target turned a request away because it is full."""
@@ -195,5 +189,10 @@
         expected_s = SILENCE_FACTOR * self._call_s(now, usual_s)
         return max(0.0, now - self._waiting_since - expected_s)
 
+    def _take(self, report: LoadReport, own_calls: int, made_at: float) -> None:
+        self._other_calls = max(0.0, report.running + report.waiting - own_calls)
+        self._slowdown = max(0.1, report.slowdown)
+        self._reported_at = made_at
+
     def _call_s(self, now: float, usual_s: float) -> float:
         return usual_s * self.speed * self.slowdown(now)
