Bound heads, trailers, chunk extensions and whole bodies that are received

The same held for trailers, chunk extensions, responses 1xx, trailers of callers, and bodies that are read whole. Ruled out: a limit by time alone, because the link fills a machine's memory before any deadline.

Change: 64 KiB may arrive without a head, a part of a body or an end of message; 16 informational responses; bodies read whole (store, commands, late duplicates) 16 MiB. Trailers of callers share the limit on their heads (431).

--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -139,8 +139,7 @@
                 self._response_metadata = metadata
                 return
             # A duplicate response to an earlier request on this connection, which arrived late.
-            for _ in connection.read_body(until):
-                pass
+            connection.read_whole_body(until)
 
     def read_response(self, until: float) -> TargetResponse:
         """Return the response to this request with the complete body, or the start of a long one.
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -98,6 +98,8 @@
         self._events = _RequestEvents()
         self._parser: HttpRequestParser | None = None
         self._body_bytes = 0
+        # Bytes of trailers and chunk extensions since the last part of the body.
+        self._idle_body_bytes = 0
         self._remaining_body_bytes: int | None = None
         self._on_disconnect: Callable[[], None] | None = None
         self._read_watcher = get_hub().loop.io(sock.fileno(), 1)
@@ -263,7 +265,7 @@
 
     def _parse_head(self, raw: bytes) -> RequestHead:
         self._events = _RequestEvents()
-        self._body_bytes = 0
+        self._body_bytes = self._idle_body_bytes = 0
         self._parser = HttpRequestParser(self._events)
         try:
             self._parser.feed_data(raw)
@@ -298,6 +300,10 @@
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             raise BadRequestError(400, f"malformed request body: {error}") from error
+        has_progress = self._events.body_parts or self._events.is_complete
+        self._idle_body_bytes = 0 if has_progress else self._idle_body_bytes + len(data)
+        if self._idle_body_bytes > limits.header_bytes:
+            raise BadRequestError(431, f"the trailers exceed {limits.header_bytes} bytes")
         if self._events.has_pipelined_request:
             raise BadRequestError(400, "a request follows before the response to this one")
 
--- a/packages/damasktide/src/damasktide/http1/errors.py
+++ b/packages/damasktide/src/damasktide/http1/errors.py
@@ -11,6 +11,7 @@
     TIMED_OUT = "timed_out"
     CLOSED = "closed"
     NOT_HTTP = "not_http"
+    TOO_LARGE = "too_large"
     ABORTED = "aborted"
 
     @property
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -17,6 +17,13 @@
 TCP_USER_TIMEOUT_MS = 4_000
 # Timeout for a write of a request that makes no progress.
 SEND_TIMEOUT_S = 2.0
+# Limit on bytes that complete no head, no part of a body and no message: a head, trailers or the
+# extension of a chunk. Servers commonly limit heads to 8 or 16 KiB.
+MAX_IDLE_INPUT_BYTES = 64 * 1024
+# Limit on the responses with status 1xx before the final one.
+MAX_INFORMATIONAL_RESPONSES = 16
+# Limit on a body that is read as a whole. The longest is a page of the store with a configuration.
+MAX_WHOLE_BODY_BYTES = 16 * 1024 * 1024
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -89,6 +96,7 @@
         self._events.bind(self._parser)
         self._head: ResponseHead | None = None
         self._is_response_complete = True
+        self._idle_input_bytes = 0
 
     @property
     def is_open(self) -> bool:
@@ -156,6 +164,7 @@
             If no head arrives.
         """
         self._events.method = method
+        informational_count = 0
         while True:
             event = self._next_event(until)
             if isinstance(event, ResponseHead):
@@ -163,6 +172,9 @@
                     self._head = event
                     return event
                 self._skip_informational(until)
+                informational_count += 1
+                if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                    raise self._too_large("too many informational responses")
 
     def read_body(self, until: float) -> Iterator[bytes]:
         """Yield the body of the response; it is complete if the iterator ends without an error.
@@ -185,17 +197,42 @@
             if isinstance(event, bytes):
                 yield event
 
-    def exchange(self, request: bytes, method: bytes, until: float) -> tuple[ResponseHead, bytes]:
+    def read_whole_body(self, until: float, max_bytes: int = MAX_WHOLE_BODY_BYTES) -> bytes:
+        """Return the complete body of the response.
+
+        Raises
+        ------
+        CallError
+            If the body is not complete by ``until``, a monotonic time in seconds, or with
+            ``TOO_LARGE`` if it has more than ``max_bytes`` bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        for data in self.read_body(until):
+            size += len(data)
+            if size > max_bytes:
+                raise self._too_large(f"the body exceeds {max_bytes} bytes")
+            parts.append(data)
+        return b"".join(parts)
+
+    def exchange(
+        self,
+        request: bytes,
+        method: bytes,
+        until: float,
+        max_body_bytes: int = MAX_WHOLE_BODY_BYTES,
+    ) -> tuple[ResponseHead, bytes]:
         """Send a complete request and return the complete response.
 
         Raises
         ------
         CallError
-            If the response is not complete by ``until``, a monotonic time in seconds.
+            If the response is not complete by ``until``, a monotonic time in seconds, or exceeds
+            a limit.
         """
         self.send(request)
         head = self.read_head(method, until)
-        return head, b"".join(self.read_body(until))
+        return head, self.read_whole_body(until, max_body_bytes)
 
     def is_reusable(self) -> bool:
         """Return whether another call can be sent.
@@ -281,6 +318,13 @@
             self.is_broken = True
             if not self._events.queue:
                 raise CallError(CallFailure.NOT_HTTP, str(error)) from error
+        self._idle_input_bytes = 0 if self._events.queue else self._idle_input_bytes + len(data)
+        if self._idle_input_bytes > MAX_IDLE_INPUT_BYTES:
+            raise self._too_large(f"{self._idle_input_bytes} bytes without a head or a body")
+
+    def _too_large(self, detail: str) -> CallError:
+        self.is_broken = True
+        return CallError(CallFailure.TOO_LARGE, detail)
 
     def _handle_end_of_stream(self) -> None:
         self.is_broken = True
