Let the roots of a region far from the store read changes from a near region

Each root of the far region read the configuration of 290 KB from the store, instances whose source had nothing fresh did so too and waited up to 4 s in that call, and each call that timed out began again. Machines of three domains of oyo had version 14 at 24 s to 31 s; it was acked at 17.5 s.

Ruled out: the number of routes (the near region had them in 0.1 s); loss of instances; downloads, which take a quarter of that link.

Change: instances write their round trip to the store into their row. Where a region is far, the root of one failure domain asks the roots of a near region over the compressed links, and the other roots ask it; the store is asked when none of them is fresh. A start far from the store reads the large tables the same way. The age of relayed data no longer counts the wait at the source, which made fresh data look 0.4 s older at each level and was refused two levels down. An instance with a source waits 0.5 s at most in a call to the store. Standbys are taken from the near roots first.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -41,7 +41,7 @@
 from damasktide.relay.exchange import RelayExchange, RelayGroup
 from damasktide.relay.relayed_store import RelayedStore
 from damasktide.relay.server import ChangesServer
-from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.relay.tree import RelayPeer, relay_order, upstream
 from damasktide.routing.configuration import RoutingConfiguration
 from damasktide.routing.task import RecordDecoder, RoutingTask
 from damasktide.rows.snapshot import TableSnapshot
@@ -265,15 +265,20 @@
             return
         peers_by_domain = {
             domain: tuple(
-                RelayPeer(record.name, record.address, record.link_mbps)
+                RelayPeer(record.name, record.address, record.link_mbps, record.store_round_trip_s)
                 for record in records
                 if record.address is not None
             )
             for domain, records in members.records_by_domain().items()
         }
+        asked_first = upstream(
+            peers_by_domain, self._settings.region_by_domain, self._settings.domain
+        )
         own_domain_peers = peers_by_domain.pop(self._settings.domain, ())
         roots = tuple(relay_order(peers)[0] for peers in peers_by_domain.values() if peers)
-        self._relay_exchange.tell(RelayGroup(members.link_key, own_domain_peers, roots))
+        self._relay_exchange.tell(
+            RelayGroup(members.link_key, own_domain_peers, roots, asked_first)
+        )
 
     def _record_load_report(self, incarnation: tuple[str, int], report: LoadReport) -> None:
         if self._load_exchange is not None:
--- a/packages/damasktide/src/damasktide/inspection/tests/test_reports.py
+++ b/packages/damasktide/src/damasktide/inspection/tests/test_reports.py
@@ -121,6 +121,9 @@
     def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         raise AssertionError("inspection writes nothing")
 
+    def round_trip_s(self) -> float | None:
+        raise AssertionError("inspection does not measure the round trip")
+
 
 def decode_target(row: Row) -> TargetEntry:
     if row.value == b"broken":
--- a/packages/damasktide/src/damasktide/keyspace/assignment_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_task.py
@@ -39,7 +39,7 @@
     TABLE,
     InstanceRecord,
 )
-from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.relay.tree import RelayPeer, relay_order, upstream
 from damasktide.rows.follower import PollSchedule, TableChanged, TableFollower, TableRead
 from damasktide.rows.snapshot import version_fingerprint
 from damasktide.rows.store import Row, RowStore
@@ -141,6 +141,7 @@
         self.maps: Published[Mapping[str, KeyMap]] = Published({})
         self.instances: Published[RegisteredInstances] = Published(RegisteredInstances())
         self._name = instance.name
+        self._region_by_domain = region_by_domain or {}
         self._clock = LeaseClock()
         self._codec = codec
         self._confirmed_at = confirmed_at
@@ -308,17 +309,28 @@
     def _standbys(self) -> list[str]:
         """Return the instances that poll the leader's row closely.
 
-        They are taken from the roots of the relay trees, which poll the store anyway.
+        They are taken from the roots of the relay trees, which poll the store anyway, first those
+        in a region near the store.
         """
-        return sorted(self._roots())[:STANDBY_COUNT]
-
-    def _roots(self) -> Iterator[str]:
-        for records in self._members.records_by_domain().values():
-            peers = [
-                RelayPeer(record.name, record.address or ("", 0), record.link_mbps)
+        return [name for _, name in sorted(self._roots())[:STANDBY_COUNT]]
+
+    def _roots(self) -> Iterator[tuple[bool, str]]:
+        """Yield for each failure domain whether it is far from the store, and its root."""
+        peers_by_domain = {
+            domain: [
+                RelayPeer(
+                    record.name,
+                    record.address or ("", 0),
+                    record.link_mbps,
+                    record.store_round_trip_s,
+                )
                 for record in records
             ]
-            yield relay_order(peers)[0].name
+            for domain, records in self._members.records_by_domain().items()
+        }
+        for domain, peers in peers_by_domain.items():
+            is_far = bool(upstream(peers_by_domain, self._region_by_domain, domain).peers)
+            yield is_far, relay_order(peers)[0].name
 
     def _dispatch_command(self, command: Command) -> None:
         if isinstance(command, Grant | Release):
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -68,6 +68,7 @@
         "domain": record.domain,
         "address": record.address,
         "link_mbps": record.link_mbps,
+        "store_round_trip_s": record.store_round_trip_s,
     }
     return json.dumps(document).encode()
 
@@ -89,6 +90,7 @@
             str(document["domain"]),
             (str(address[0]), int(address[1])) if address else None,
             float(document.get("link_mbps") or 0.0),
+            _optional_float(document.get("store_round_trip_s")),
         )
 
 
@@ -112,6 +114,10 @@
     )
 
 
+def _optional_float(value: Any) -> float | None:
+    return float(value) if value is not None else None
+
+
 def _decode_previous(fields: list[Any]) -> Incarnation | None:
     return _decode_incarnation(*fields) if fields else None
 
--- a/packages/damasktide/src/damasktide/keyspace/store_writer.py
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -1,6 +1,7 @@
 """Writes the maps, the leader's row and registrations; owns its connection to the store."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from secrets import token_bytes
 
 from loguru import logger
@@ -88,7 +89,10 @@
 
     @handles(RegisterInstance)
     def _register(self, message: RegisterInstance) -> None:
-        value = None if message.is_leaving else encode_instance(self._instance)
+        value = None
+        if not message.is_leaving:
+            round_trip_s = self._store.round_trip_s()
+            value = encode_instance(replace(self._instance, store_round_trip_s=round_trip_s))
         result, _ = self._write(RowWrite(TABLE, instance_key(self._instance.name), value), ())
         if result is not WriteResult.WRITTEN and not message.is_leaving:
             self.tell_later(message, REGISTER_RETRY_S)
--- a/packages/damasktide/src/damasktide/keyspace/table.py
+++ b/packages/damasktide/src/damasktide/keyspace/table.py
@@ -29,6 +29,8 @@
         Host and port for calls of other instances, or None.
     link_mbps
         Bandwidth of its link in Mbit/s.
+    store_round_trip_s
+        Round trip between its machine and the store in seconds, or None if it was not measured.
     """
 
     name: str
@@ -36,6 +38,7 @@
     domain: str
     address: tuple[str, int] | None = None
     link_mbps: float = 0.0
+    store_round_trip_s: float | None = None
 
 
 def map_key(service: str) -> str:
--- a/packages/damasktide/src/damasktide/loads/task.py
+++ b/packages/damasktide/src/damasktide/loads/task.py
@@ -68,7 +68,7 @@
         self._due_at = now + (
             BUSY_INTERVAL_S if self._cache.has_full_target() else IDLE_INTERVAL_S
         )
-        source = self._relay.sources.source(now)
+        source = self._relay.sources.domain_source(now)
         if source is not None:
             self._exchange_reports(source.peer, self._cache.reports_from(now, self._name))
             return
--- a/packages/damasktide/src/damasktide/relay/exchange.py
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -1,7 +1,7 @@
 """Task that owns the links to other instances."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from time import monotonic
 
 from loguru import logger
@@ -16,15 +16,12 @@
 )
 from damasktide.relay.messages import ChangesRefused, ChangesReply, ChangesRequest
 from damasktide.relay.server import CHANGES_KIND, ChangesServer
-from damasktide.relay.sources import RelaySourceSelector
-from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.relay.sources import RelaySource, RelaySourceSelector
+from damasktide.relay.tree import RelayPeer, Upstream, relay_order
 from damasktide.runtime.registry import Registry
 from damasktide.runtime.task import Task, TaskFailed, handles
 from damasktide.settings.model import Address
 
-# Time allowed for a reply in addition to the requested wait.
-REPLY_MARGIN_S = 0.35
-
 
 @dataclass(frozen=True, slots=True)
 class RelayGroup:
@@ -38,11 +35,14 @@
         The instances of this failure domain that can be called.
     other_roots
         The root of each other failure domain.
+    upstream
+        Instances that the root of this failure domain asks before the store.
     """
 
     key: bytes
     peers: tuple[RelayPeer, ...]
     other_roots: tuple[RelayPeer, ...] = ()
+    upstream: Upstream = field(default_factory=Upstream)
 
 
 class RelayExchange(Task):
@@ -80,11 +80,12 @@
         self._server: PeerServer | None = None
         self._client: PeerClient | None = None
 
-    def request_changes(self, peer: RelayPeer, request: ChangesRequest) -> ChangesReply:
+    def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         """Request the changes of a table from a peer; a failed call counts as a refusal."""
         if self._client is None:
             return ChangesRefused("no links yet")
-        timeout_s = request.wait_s + REPLY_MARGIN_S
+        peer = source.peer
+        timeout_s = request.wait_s + source.reply_margin_s
         result = self._client.call(
             *peer.address, CHANGES_KIND, encode_changes_request(request), timeout_s
         )
@@ -127,7 +128,7 @@
             self._server.start()
             self._client = PeerClient(self._own_id, group.key)
             self._client.start()
-        self.sources.set_order(relay_order(group.peers))
+        self.sources.set_order(relay_order(group.peers), group.upstream)
         self.other_roots = group.other_roots
         source = self.sources.source(monotonic())
         logger.bind(
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -41,7 +41,8 @@
     version
         Version of the store up to which the rows are complete.
     age_s
-        Age of the store's last response about the table, in seconds.
+        Age of the store's last response about the table when the request arrived, in seconds;
+        negative if the response was requested later.
     """
 
     rows: tuple[Row, ...]
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -27,9 +27,9 @@
 SOURCE_RETRY_TIMEOUT_S = 0.4
 SOURCE_RETRY_INTERVAL_S = 0.15
 
-# Longest wait of a call to the store by an instance that defers to others. The response crosses
-# the link between the regions, so a call that still waits after the sources have become fresh
-# again would transfer each large change once more.
+# Longest wait of a call to the store by an instance whose sources have nothing fresh. The response
+# crosses the link between the regions, so a call that still waits after the sources have become
+# fresh again would transfer each large change once more.
 MAX_DEFERRED_WAIT_S = 0.5
 
 # Time for which a starting instance waits until the other instances are known, which takes one
@@ -51,7 +51,7 @@
     """Requests changes from other instances, and from the store if they have no fresh data.
 
     Writes always go to the store. Full reads also do, except the first read of a large table in a
-    large failure domain.
+    large failure domain or far from the store.
 
     Parameters
     ----------
@@ -81,7 +81,7 @@
         changes = self._changes_from_peers(table, after, wait_s)
         if changes is not None:
             return changes
-        if self._exchange.sources.defers_to_others:
+        if self._exchange.sources.source(monotonic()) is not None:
             wait_s = min(wait_s, MAX_DEFERRED_WAIT_S)
         try:
             return self._call_store(lambda: self._store.wait_for_changes(table, after, wait_s))
@@ -96,6 +96,10 @@
         self._is_interrupted = True
         self._store.interrupt()
 
+    def round_trip_s(self) -> float | None:
+        """See :meth:`damasktide.rows.store.RowStore.round_trip_s`."""
+        return self._store.round_trip_s()
+
     def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         """See :meth:`damasktide.rows.store.RowStore.write`."""
         return self._store.write(writes, expected)
@@ -107,7 +111,7 @@
         while not sources.is_order_known and monotonic() < wait_until:
             gevent.sleep(INSTANCES_POLL_INTERVAL_S)
         until = monotonic() + FULL_READ_TIMEOUT_S
-        while sources.defers_to_others and (source := sources.source(monotonic())) is not None:
+        while sources.reads_from_peers and (source := sources.source(monotonic())) is not None:
             reply = self._request_from(
                 source, ChangesRequest(table, 0, 0.0, source.max_age_s, is_full_read=True)
             )
@@ -130,7 +134,7 @@
                 source, table, after, wait_s if refused_at is None else 0.0
             )
             changes = changes or self._changes_from_fallback(table, after)
-            if changes is not None or sources.fallback_source(monotonic()) is None:
+            if changes is not None or not sources.may_retry_sources(monotonic()):
                 return changes
             refused_at = refused_at or monotonic()
             if monotonic() >= refused_at + SOURCE_RETRY_TIMEOUT_S:
@@ -167,7 +171,7 @@
         return Changes(reply.rows, reply.version, reply.age_s) if reply is not None else None
 
     def _request_from(self, source: RelaySource, request: ChangesRequest) -> RelayedChanges | None:
-        reply = self._exchange.request_changes(source.peer, request)
+        reply = self._exchange.request_changes(source, request)
         if isinstance(reply, ChangesRefused):
             return None
         self._exchange.sources.record_peer_reply(source.peer.name)
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -53,7 +53,8 @@
         published = self._snapshots.get(request.table)
         if published is None:
             return ChangesRefused("unknown table")
-        until = self._clock.now() + min(request.wait_s, MAX_WAIT_S)
+        arrived_at = self._clock.now()
+        until = arrived_at + min(request.wait_s, MAX_WAIT_S)
         while True:
             snapshot = published.value
             if snapshot is None:
@@ -66,8 +67,9 @@
                 return ChangesRefused("no fresh answer of the store")
             rows = snapshot.rows if request.is_full_read else snapshot.rows_after(request.after)
             if rows or now >= until or request.is_full_read:
-                age_s = max(0.0, now - snapshot.requested_at)
-                return RelayedChanges(rows, snapshot.version, age_s)
+                # Relative to the arrival, because the requester counts from the time at which it
+                # sent the request.
+                return RelayedChanges(rows, snapshot.version, arrived_at - snapshot.requested_at)
             # The wait ends once the snapshot is stale, so that the requester does not depend on an
             # instance that has lost contact with the store itself.
             published.wait_for_change(
--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -1,8 +1,10 @@
 """Selection of the source of changes, the store or another instance; a state machine."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 
-from damasktide.relay.tree import RelayPeer, parent
+from damasktide.relay.tree import RelayPeer, Upstream, parent
 
 # An instance that did not reply is excluded for this time, doubled by each further failure.
 MIN_PEER_BACKOFF_S = 2.0
@@ -21,6 +23,10 @@
 IMMEDIATE_FALLBACK_INSTANCES = 3
 # Increase of the maximum age for each further level of the tree: at most the wait of one call.
 MAX_AGE_INCREASE_PER_LEVEL_S = 0.5
+# Time allowed for a reply in addition to the requested wait, and for one from another region,
+# whose link may be full of long responses.
+REPLY_MARGIN_S = 0.35
+CROSS_REGION_REPLY_MARGIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +39,13 @@
         Instance that relays the changes.
     max_age_s
         Maximum age of its data to accept, in seconds.
+    reply_margin_s
+        Time allowed for a reply in addition to the requested wait, in seconds.
     """
 
     peer: RelayPeer
     max_age_s: float
+    reply_margin_s: float = REPLY_MARGIN_S
 
 
 @dataclass(slots=True)
@@ -59,22 +68,31 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._order: tuple[RelayPeer, ...] = ()
+        self._upstream = Upstream()
         self._failure_by_name: dict[str, _Failure] = {}
         self._store_failed_at: float | None = None
 
-    def set_order(self, order: tuple[RelayPeer, ...]) -> None:
-        """Replace the instances of this failure domain, given in the order of the tree."""
+    def set_order(self, order: tuple[RelayPeer, ...], upstream: Upstream | None = None) -> None:
+        """Replace the instances of this failure domain, given in the order of the tree.
+
+        ``upstream`` are the instances that the root of the tree asks before the store.
+        """
         self._order = order
-        names = {peer.name for peer in order}
+        self._upstream = upstream or Upstream()
+        names = {peer.name for peer in (*order, *self._upstream.peers)}
         for name in set(self._failure_by_name) - names:
             del self._failure_by_name[name]
 
     def source(self, now: float) -> RelaySource | None:
         """Return the instance to request changes from, or None if the store is to be called."""
+        return self.domain_source(now) or next(self._upstream_sources(now), None)
+
+    def domain_source(self, now: float) -> RelaySource | None:
+        """Return the parent in the tree of this failure domain, or None for its root."""
         peer, depth = parent(self._order, self._name, self._excluded_names(now))
         if peer is None:
             return None
-        return RelaySource(peer, MAX_AGE_S + (depth - 1) * MAX_AGE_INCREASE_PER_LEVEL_S)
+        return RelaySource(peer, _max_age_s(depth + self._upstream.depth))
 
     def fallback_source(self, now: float) -> RelaySource | None:
         """Return the instance to use if the source, or the store for the root, has nothing fresh.
@@ -82,12 +100,19 @@
         This is the second instance in tree order, which calls the store as soon as the root has
         nothing fresh, because the store may be unreachable from the root's machine only. The
         result is None for the instances that then call the store themselves, and if the second
-        instance does not exist or did not reply recently.
+        instance does not exist or did not reply recently. Far from the store, the root falls back
+        to the next instance upstream.
         """
+        if self._upstream.peers and self.domain_source(now) is None:
+            return next(islice(self._upstream_sources(now), 1, None), None)
         names = [peer.name for peer in self._order[: 1 + IMMEDIATE_FALLBACK_INSTANCES]]
         if len(names) < 2 or self._name in names[1:] or names[1] in self._excluded_names(now):
             return None
-        return RelaySource(self._order[1], MAX_AGE_S)
+        return RelaySource(self._order[1], _max_age_s(1 + self._upstream.depth))
+
+    def may_retry_sources(self, now: float) -> bool:
+        """Return whether to ask the sources again for a while if they have nothing fresh."""
+        return self.domain_source(now) is not None and self.fallback_source(now) is not None
 
     @property
     def is_order_known(self) -> bool:
@@ -100,6 +125,11 @@
         first = self._order[: 1 + IMMEDIATE_FALLBACK_INSTANCES]
         return len(self._order) > len(first) and self._name not in {peer.name for peer in first}
 
+    @property
+    def reads_from_peers(self) -> bool:
+        """Whether a large table is read from another instance at a start, if one has it."""
+        return self.defers_to_others or bool(self._upstream.peers)
+
     def may_call_store(self, now: float) -> bool:
         """Return whether the store may be called; an unavailable one is called less often."""
         if self._store_failed_at is None:
@@ -129,7 +159,20 @@
         """Record a response of the store."""
         self._store_failed_at = None
 
+    def _upstream_sources(self, now: float) -> Iterator[RelaySource]:
+        excluded = self._excluded_names(now)
+        for peer in self._upstream.peers:
+            if peer.name not in excluded:
+                is_in_region = peer.name in self._upstream.region_peers
+                margin_s = REPLY_MARGIN_S if is_in_region else CROSS_REGION_REPLY_MARGIN_S
+                yield RelaySource(peer, _max_age_s(self._upstream.depth), margin_s)
+
     def _excluded_names(self, now: float) -> frozenset[str]:
         return frozenset(
             name for name, failure in self._failure_by_name.items() if now < failure.until
         )
+
+
+def _max_age_s(depth: int) -> float:
+    """Return the maximum age of data that passes through ``depth`` instances."""
+    return MAX_AGE_S + max(0, depth - 1) * MAX_AGE_INCREASE_PER_LEVEL_S
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -17,8 +17,13 @@
 from damasktide.relay.messages import ChangesRefused, ChangesReply, ChangesRequest, RelayedChanges
 from damasktide.relay.relayed_store import MAX_DEFERRED_WAIT_S, RelayedStore
 from damasktide.relay.server import ChangesServer
-from damasktide.relay.sources import MAX_AGE_S, NON_ROOT_STORE_RETRY_S, RelaySourceSelector
-from damasktide.relay.tree import RelayPeer, relay_order
+from damasktide.relay.sources import (
+    MAX_AGE_S,
+    NON_ROOT_STORE_RETRY_S,
+    RelaySource,
+    RelaySourceSelector,
+)
+from damasktide.relay.tree import RelayPeer, Upstream, relay_order
 from damasktide.rows.snapshot import TableSnapshot, value_fingerprint
 from damasktide.rows.store import (
     Changes,
@@ -60,6 +65,9 @@
     def interrupt(self) -> None:
         raise AssertionError("no call waits")
 
+    def round_trip_s(self) -> float | None:
+        return 0.001
+
     def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         self._call()
         return 1
@@ -77,11 +85,12 @@
         self.sources = RelaySourceSelector(name)
         self.sources.set_order(ORDER)
         self.reply = reply
+        self.reply_by_peer: dict[str, ChangesReply] = {}
         self.requested_peers: list[str] = []
 
-    def request_changes(self, peer: RelayPeer, request: ChangesRequest) -> ChangesReply:
-        self.requested_peers.append(peer.name)
-        return self.reply
+    def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
+        self.requested_peers.append(source.peer.name)
+        return self.reply_by_peer.get(source.peer.name, self.reply)
 
 
 def changes(version: int = 9) -> RelayedChanges:
@@ -138,9 +147,14 @@
         exchange.reply = changes(12)
         self.assertEqual(client.wait_for_changes(TABLE, 9, 1.0).version, 12)
 
-    def test_wait_at_the_store_is_short_for_a_deferring_instance(self) -> None:
+    def test_wait_at_the_store_is_short_for_an_instance_with_a_source(self) -> None:
         """Guards against every machine of a region fetching a large change from the store."""
-        for name, longest_s in ((LAST, MAX_DEFERRED_WAIT_S), (ROOT, 4.0)):
+        second = ORDER[1].name
+        for name, longest_s in (
+            (LAST, MAX_DEFERRED_WAIT_S),
+            (second, MAX_DEFERRED_WAIT_S),
+            (ROOT, 4.0),
+        ):
             self.store.waits_s.clear()
             client, _ = self.client(name, ChangesRefused("no fresh answer of the store"))
             client.wait_for_changes(TABLE, 5, 4.0)
@@ -189,6 +203,45 @@
         self.assertIsNone(client.read_table(TABLE).relayed_age_s)
 
 
+class TestFarFromTheStore(unittest.TestCase):
+    """Changes in a region whose link to the store's region is narrow and full.
+
+    Seen on a day with 848 new routes and 24 machines: each root of the far region read the
+    configuration from the store, and instances that no root could serve in time did so too, which
+    kept the link full for 20 s.
+    """
+
+    NEAR = RelayPeer("near-1", ("10.1.0.1", 1), 100.0)
+    OTHER_NEAR = RelayPeer("near-2", ("10.1.0.2", 1), 100.0)
+
+    def client(self, reply: ChangesReply) -> RelayedStore:
+        self.store = FakeStore()
+        self.exchange = FakeExchange(ROOT, reply)
+        self.exchange.sources.set_order(
+            ORDER, Upstream((self.NEAR, self.OTHER_NEAR), frozenset(), 1)
+        )
+        return RelayedStore(self.store, self.exchange, is_large=True)  # type: ignore[arg-type]
+
+    def test_root_asks_an_instance_near_the_store(self) -> None:
+        client = self.client(changes())
+        self.assertEqual(client.wait_for_changes(TABLE, 5, 1.0).version, 9)
+        self.assertEqual(client.read_table(TABLE).version, 9)
+        self.assertEqual((self.store.calls, set(self.exchange.requested_peers)), (0, {"near-1"}))
+
+    def test_root_asks_the_next_instance_if_the_first_has_no_fresh_data(self) -> None:
+        client = self.client(changes())
+        self.exchange.reply_by_peer["near-1"] = ChangesRefused("no fresh answer of the store")
+        self.assertEqual(client.wait_for_changes(TABLE, 5, 1.0).version, 9)
+        self.assertEqual(self.store.calls, 0)
+
+    def test_root_calls_the_store_if_no_instance_upstream_has_fresh_data(self) -> None:
+        client = self.client(ChangesRefused("no fresh answer of the store"))
+        started_at = monotonic()
+        self.assertIsNone(client.wait_for_changes(TABLE, 5, 1.0).relayed_age_s)
+        self.assertEqual(self.store.calls, 1)
+        self.assertLess(monotonic() - started_at, FALLBACK_LIMIT_S)
+
+
 class TestChangesServer(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(100.0)
@@ -207,6 +260,17 @@
         assert isinstance(result, RelayedChanges)
         self.assertAlmostEqual(result.age_s, 0.2)
 
+    def test_wait_at_the_source_does_not_add_to_the_age(self) -> None:
+        """Guards against fresh data that is refused two levels further down as too old."""
+        server = ChangesServer({TABLE: self.table}, LeaseClock())
+        known = self.table.value
+        assert known is not None
+        arrived_at = LeaseClock().now()
+        self.table.publish(replace(known, requested_at=arrived_at))
+        result = server.reply_to(ChangesRequest(TABLE, 6, 0.2, MAX_AGE_S))
+        assert isinstance(result, RelayedChanges)
+        self.assertLess(result.age_s, 0.1)
+
     def test_stale_snapshot_is_refused(self) -> None:
         """Guards against relaying an outdated configuration when the store is unavailable."""
         self.clock.advance(MAX_AGE_S)
--- a/packages/damasktide/src/damasktide/relay/tests/test_tree.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_tree.py
@@ -1,6 +1,7 @@
 """The relay tree and its repair after failures, without a network."""
 
 import unittest
+from typing import ClassVar
 
 from damasktide.relay.sources import (
     IMMEDIATE_FALLBACK_INSTANCES,
@@ -10,7 +11,7 @@
     ROOT_STORE_RETRY_S,
     RelaySourceSelector,
 )
-from damasktide.relay.tree import FAN_OUT, RelayPeer, parent, relay_order
+from damasktide.relay.tree import FAN_OUT, RelayPeer, parent, relay_order, upstream
 
 # Time within which a new configuration or a leaving target must be known.
 KNOWN_WITHIN_S = 2.5
@@ -56,6 +57,52 @@
         self.assertEqual(parent(order, order[3].name, excluded)[0], order[1])
 
 
+class TestUpstream(unittest.TestCase):
+    """Sources of the roots in a region far from the store."""
+
+    REGION_BY_DOMAIN: ClassVar[dict[str, str]] = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+    def peers_by_domain(
+        self, near_s: float | None = 0.001, far_s: float | None = 0.06
+    ) -> dict[str, list[RelayPeer]]:
+        return {
+            domain: [
+                RelayPeer(
+                    f"{domain}-{n}", (domain, n), 100.0 - n, near_s if region == "a" else far_s
+                )
+                for n in range(3)
+            ]
+            for domain, region in self.REGION_BY_DOMAIN.items()
+        }
+
+    def found(self, domain: str, **round_trips: float | None) -> tuple[list[str], int]:
+        found = upstream(self.peers_by_domain(**round_trips), self.REGION_BY_DOMAIN, domain)
+        return [peer.name for peer in found.peers], found.depth
+
+    def test_roots_near_the_store_ask_the_store(self) -> None:
+        self.assertEqual(self.found("a1"), ([], 0))
+        self.assertEqual(self.found("a2"), ([], 0))
+
+    def test_one_root_of_a_far_region_asks_the_near_ones_and_the_others_ask_it(self) -> None:
+        """Guards against a large change that crosses the regions' link for each domain."""
+        by_depth = {self.found(domain)[1]: self.found(domain)[0] for domain in ("b1", "b2")}
+        self.assertEqual(set(by_depth), {1, 2})
+        self.assertEqual(set(by_depth[1]), {"a1-0", "a2-0"})
+        self.assertIn(by_depth[2][0], {"b1-0", "b2-0"})
+        self.assertEqual(by_depth[2][1:], by_depth[1])
+
+    def test_unknown_or_equal_distances_leave_the_store_as_the_source(self) -> None:
+        """Guards against two regions that ask each other and never the store."""
+        for near_s, far_s in ((None, None), (0.06, 0.06), (0.001, 0.002)):
+            with self.subTest(near_s=near_s, far_s=far_s):
+                self.assertEqual(self.found("b1", near_s=near_s, far_s=far_s), ([], 0))
+
+    def test_slow_start_of_one_instance_does_not_make_its_region_far(self) -> None:
+        peers_by_domain = self.peers_by_domain()
+        peers_by_domain["a1"] = [RelayPeer("a1-0", ("a1", 0), 100.0, 0.09)]
+        self.assertEqual(upstream(peers_by_domain, self.REGION_BY_DOMAIN, "a1").peers, ())
+
+
 class TestSources(unittest.TestCase):
     def setUp(self) -> None:
         self.order = relay_order(peers(6))
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -66,7 +66,8 @@
     version
         Version of the store up to which the rows are complete.
     relayed_age_s
-        Age of the response if another instance relayed it; None if the store itself responded.
+        Age of the response at the start of the call if another instance relayed it, negative if
+        it was requested during the call; None if the store itself responded.
     """
 
     rows: tuple[Row, ...]
@@ -85,7 +86,8 @@
     version
         Version of the store up to which the rows are complete.
     relayed_age_s
-        Age of the response if another instance relayed it; None if the store itself responded.
+        Age of the response at the start of the call if another instance relayed it, negative if
+        it was requested during the call; None if the store itself responded.
     """
 
     rows: tuple[Row, ...]
@@ -143,6 +145,12 @@
     def interrupt(self) -> None:
         """End a call of another greenlet that waits for changes; that call then raises."""
 
+    def round_trip_s(self) -> float | None:
+        """Return the shortest round trip to the store so far, in seconds.
+
+        Opens a connection if none was opened before; None if the store cannot be reached.
+        """
+
     def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         """Write rows atomically if all of ``expected`` holds; return the version of the write.
 
--- a/packages/damasktide/src/damasktide/rows/tests/test_follower.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_follower.py
@@ -39,6 +39,9 @@
     def write(self, writes: Sequence[RowWrite], expected: Sequence[ExpectedRow] = ()) -> int:
         raise AssertionError("a follower must not write")
 
+    def round_trip_s(self) -> float | None:
+        raise AssertionError("a follower does not measure the round trip")
+
 
 class TestPollScheduleOfASlowStore(unittest.TestCase):
     def setUp(self) -> None:
