Decode all data from outside with limits on size, depth and range

Cause: an entry of the targets that was deeply nested raised RecursionError, one with a number of 400 digits OverflowError; neither is MalformedEntryError, so the task that follows the targets ended, after each restart again. Port 99999, port 0 and infinite times were accepted and failed later. A load report with inf ended the request that carried it. A full read that interrupts a call was taken for an outage of the store.

Ruled out: catching more exceptions in each decoder, which leaves the numbers unchecked.

--- a/packages/damasktide/src/damasktide/keyspace/assignment_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_task.py
@@ -45,7 +45,7 @@
 from damasktide.rows.store import Row, RowStore
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
-from damasktide.runtime.task import Stop, Task, TaskFailed, every, handles
+from damasktide.runtime.task import OnError, Stop, Task, TaskFailed, every, handles
 from damasktide.targets.target import TargetView
 
 TICK_INTERVAL_S = 0.1
@@ -209,7 +209,7 @@
     def _services_changed(self, message: KeyedServices) -> None:
         self._assignment.set_services(message.names)
 
-    @handles(TableRead)
+    @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         self._apply_rows(message.state.rows)
         if message.table == LEADER_TABLE:
@@ -219,7 +219,7 @@
         self._has_read_maps = True
         self._publish()
 
-    @handles(TableChanged)
+    @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
         self._apply_rows(message.changes.rows)
         if message.table == TABLE:
@@ -260,6 +260,11 @@
                 logger.bind(row=row.key, version=row.version).warning(
                     "ignoring a malformed row: {}", error
                 )
+            except Exception:
+                # One row that the decoder did not foresee must not hide the others.
+                logger.bind(row=row.key, version=row.version).exception(
+                    "ignoring a row that cannot be applied"
+                )
 
     def _apply_row(self, row: Row) -> None:
         if row.key.startswith(INSTANCE_PREFIX):
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -1,13 +1,18 @@
 """JSON encoding of the rows in the ``damasktide`` tables."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any
 
-from damasktide.keyspace.key_map import Incarnation, KeyMap, KeyRange
+from damasktide.keyspace.key_map import KEY_COUNT, Incarnation, KeyMap, KeyRange
 from damasktide.keyspace.leadership import LeaderRecord
 from damasktide.keyspace.table import InstanceRecord
+from damasktide.runtime.decoding import json_decoder
+
+# A map of one range for each of 65,536 keys has about 4 MB.
+MAX_ROW_BYTES = 8 * 1024 * 1024
+_decode_object = json_decoder(dict[str, Any], MAX_ROW_BYTES)
 
 
 class MalformedRowError(ValueError):
@@ -38,8 +43,8 @@
         If the row cannot be decoded.
     """
     with _decoding(f"map of {service}"):
-        document = json.loads(value)
-        ranges = tuple(_decode_range(fields) for fields in document["ranges"])
+        document = _decode_object(value)
+        ranges = tuple(_ordered(_decode_range(fields) for fields in document["ranges"]))
         return KeyMap(service, version, int(document["last_fence"]), ranges)
 
 
@@ -57,7 +62,7 @@
         If the row cannot be decoded.
     """
     with _decoding("leader"):
-        document = json.loads(value)
+        document = _decode_object(value)
         return LeaderRecord(str(document["instance"]), str(document["boot"]), version)
 
 
@@ -82,7 +87,7 @@
         If the row cannot be decoded.
     """
     with _decoding(f"instance {name}"):
-        document = json.loads(value)
+        document = _decode_object(value)
         address = document.get("address")
         return InstanceRecord(
             name,
@@ -99,7 +104,7 @@
     """Raise decoding errors as :class:`MalformedRowError` with a description of the row."""
     try:
         yield
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError, OverflowError) as error:
         raise MalformedRowError(f"{description}: {error}") from error
 
 
@@ -118,6 +123,16 @@
     return float(value) if value is not None else None
 
 
+def _ordered(ranges: Iterable[KeyRange]) -> Iterator[KeyRange]:
+    """Yield ``ranges``; raise ValueError if they overlap or contain keys that do not exist."""
+    next_key = 0
+    for key_range in ranges:
+        if not next_key <= key_range.first <= key_range.last < KEY_COUNT:
+            raise ValueError(f"range {key_range.first} to {key_range.last} is out of order")
+        next_key = key_range.last + 1
+        yield key_range
+
+
 def _decode_previous(fields: list[Any]) -> Incarnation | None:
     return _decode_incarnation(*fields) if fields else None
 
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -10,7 +10,7 @@
 from damasktide.rows.follower import TableChanged, TableFollower, TableRead
 from damasktide.rows.store import Row, RowStore
 from damasktide.runtime.published import Published
-from damasktide.runtime.task import Task, TaskFailed, handles
+from damasktide.runtime.task import OnError, Task, TaskFailed, handles
 
 
 class MalformedRecordError(ValueError):
@@ -95,7 +95,7 @@
         """Interrupt the pending call, because another call has found the store unavailable."""
         self._follower.interrupt()
 
-    @handles(TableRead)
+    @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
         self._apply_rows(state.rows)
@@ -104,7 +104,7 @@
             if self._version_by_key[key] < state.version:
                 self._apply_rows((Row(key, b"", state.version, is_dropped=True),))
 
-    @handles(TableChanged)
+    @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
         self._apply_rows(message.changes.rows)
 
@@ -120,6 +120,12 @@
                     "ignoring a malformed row: {}", error
                 )
                 continue
+            except Exception:
+                # One row that the decoder did not foresee must not hide the others.
+                logger.bind(row=row.key, version=row.version).exception(
+                    "ignoring a row that cannot be decoded"
+                )
+                continue
             if isinstance(record, RoutingConfiguration) and not row.is_dropped:
                 self._activate(record, row.version)
             elif isinstance(record, Evacuation):
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -153,6 +153,7 @@
         self._version: int | None = None
         self._retry_s = INITIAL_RETRY_S
         self._is_store_unavailable = False
+        self._is_full_read_requested = False
         self._due_at = 0.0
         self._clock = LeaseClock()
         self._random = Random()
@@ -165,6 +166,8 @@
     def request_full_read(self) -> None:
         """Read the complete table in the next call, and :meth:`interrupt` a pending one."""
         self._version = None
+        self._is_full_read_requested = True
+        self._due_at = 0.0
         self.interrupt()
 
     def set_poll_schedule(self, poll_schedule: PollSchedule) -> None:
@@ -178,6 +181,7 @@
     def on_wake(self) -> None:
         """Make the next call."""
         requested_at = self._clock.now()
+        self._is_full_read_requested = False
         try:
             message = self._call(requested_at)
         except HistoryLostError:
@@ -187,6 +191,14 @@
             self._version = None
             return
         except StoreUnavailableError as error:
+            if self._is_full_read_requested:
+                # The call was interrupted in order to read the complete table.
+                return
+            self._record_failure(str(error))
+            return
+        except Exception as error:
+            # A response that was not foreseen must not end the task.
+            logger.bind(table=self._table, version=self._version).exception("cannot read changes")
             self._record_failure(str(error))
             return
         self._record_success()
--- a/packages/damasktide/src/damasktide/rows/snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/snapshot.py
@@ -90,7 +90,8 @@
         drop_by_key = {row.key: row for row in self.drops}
         for row in changes.rows:
             before = tracked_by_key.get(row.key)
-            if before is not None and before.row.version >= row.version:
+            known = before.row if before is not None else drop_by_key.get(row.key)
+            if known is not None and known.version >= row.version:
                 continue
             tracked_by_key.pop(row.key, None)
             drop_by_key.pop(row.key, None)
--- a/packages/damasktide/src/damasktide/rows/tests/test_snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_snapshot.py
@@ -66,6 +66,14 @@
         )
         self.assertEqual(found.complete_since, 7)
 
+    def test_older_row_does_not_undo_a_deletion(self) -> None:
+        """Guards against relaying a target that has left to an instance that restarts."""
+        found = self.updated(drop("a", 9), version=9).updated(
+            Changes((row("a", 3),), 9), 4.0, first_byte_fingerprint
+        )
+        self.assertNotIn("a", [item.key for item in found.rows])
+        self.assertIn("a", [item.key for item in found.drops])
+
     def test_stale_complete_read_deletes_no_newer_row(self) -> None:
         newer = self.updated(row("d", 30), version=30)
         found = newer.reread(
--- a/packages/damasktide/src/damasktide/runtime/task.py
+++ b/packages/damasktide/src/damasktide/runtime/task.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, ClassVar, TypeVar
 
 import gevent
@@ -42,11 +43,28 @@
     reply: AsyncResult | None
 
 
-def handles(message_type: type) -> Callable[[M], M]:
+class OnError(Enum):
+    """What an unexpected exception of a handler does to its task.
+
+    Attributes
+    ----------
+    END_TASK
+        The task ends and reports the failure, because its state may be inconsistent.
+    DROP_MESSAGE
+        The error is logged, the message is dropped, and the task goes on. For messages with
+        content from outside, which would end the task again after a restart.
+    """
+
+    END_TASK = "end_task"
+    DROP_MESSAGE = "drop_message"
+
+
+def handles(message_type: type, on_error: OnError = OnError.END_TASK) -> Callable[[M], M]:
     """Register the decorated method as the handler of ``message_type``."""
 
     def decorate(method: M) -> M:
         method._handled_type = message_type  # type: ignore[attr-defined]
+        method._on_error = on_error  # type: ignore[attr-defined]
         return method
 
     return decorate
@@ -197,9 +215,14 @@
             error = TypeError(f"task {self.name} has no handler for {type(envelope.message)}")
             self._reject(envelope, error)
             return
+        handler = getattr(self, method)
         try:
-            result = getattr(self, method)(envelope.message)
+            result = handler(envelope.message)
         except Exception as handler_error:
+            if envelope.reply is None and handler._on_error is OnError.DROP_MESSAGE:
+                message_name = type(envelope.message).__name__
+                logger.bind(task=self.name, dropped=message_name).exception("message dropped")
+                return
             self._reject(envelope, handler_error)
             return
         if envelope.reply is not None:
--- a/packages/damasktide/src/damasktide/runtime/tests/test_task.py
+++ b/packages/damasktide/src/damasktide/runtime/tests/test_task.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from damasktide.runtime.task import Task, TaskFailed, handles
+from damasktide.runtime.task import OnError, Task, TaskFailed, handles
 
 
 @dataclass(frozen=True)
@@ -17,6 +17,11 @@
     pass
 
 
+@dataclass(frozen=True)
+class OddData:
+    pass
+
+
 class Adder(Task):
     def __init__(self, **kwargs: object) -> None:
         super().__init__("adder", **kwargs)  # type: ignore[arg-type]
@@ -31,6 +36,10 @@
     def _fail(self, message: Fail) -> None:
         raise RuntimeError("broken")
 
+    @handles(OddData, OnError.DROP_MESSAGE)
+    def _odd_data(self, message: OddData) -> None:
+        raise RuntimeError("odd")
+
 
 class Alarm(Task):
     def __init__(self) -> None:
@@ -86,6 +95,16 @@
         task.stop()
         self.assertEqual(failures, [TaskFailed("adder", "broken")])
 
+    def test_message_with_unforeseen_content_is_dropped_and_the_task_goes_on(self) -> None:
+        """Guards against a process that ends again and again because of one message."""
+        failures: list[TaskFailed] = []
+        task = Adder(on_failure=failures.append)
+        task.start()
+        task.tell(OddData())
+        self.assertEqual(task.ask(Add(1)), 1)
+        task.stop()
+        self.assertEqual(failures, [])
+
     def test_failure_of_a_message_sent_by_ask_reaches_its_caller_only(self) -> None:
         """Guards against a bad request that ends a task which serves others."""
         task = Adder()
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -16,7 +16,7 @@
 )
 from damasktide.rows.store import Row, RowStore
 from damasktide.runtime.published import Published
-from damasktide.runtime.task import Task, TaskFailed, every, handles
+from damasktide.runtime.task import OnError, Task, TaskFailed, every, handles
 from damasktide.targets.directory import TargetDirectory
 from damasktide.targets.target import TargetEntry, TargetView
 
@@ -95,7 +95,7 @@
             logger.bind(target=target_id).info("target removed after the grace period")
         self._publish()
 
-    @handles(TableRead)
+    @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
         self._apply_rows(state.rows)
@@ -105,7 +105,7 @@
         self.confirmed_at.publish(message.requested_at)
         self._publish()
 
-    @handles(TableChanged)
+    @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
         self._apply_rows(message.changes.rows)
         self.confirmed_at.publish(message.requested_at)
@@ -134,12 +134,8 @@
                 if self._directory.record_unlisted(now, row.version, row.key):
                     logger.bind(target=row.key, version=row.version).info("target removed")
                 continue
-            try:
-                entry = self._decode(row)
-            except MalformedEntryError as error:
-                logger.bind(target=row.key, version=row.version).warning(
-                    "ignoring a malformed entry: {}", error
-                )
+            entry = self._decode_logged(row)
+            if entry is None:
                 continue
             if self._directory.record_listed(now, row.version, entry):
                 logger.bind(
@@ -150,12 +146,24 @@
                     cold_s=entry.cold_start_remaining_s,
                 ).info("target changed")
 
+    def _decode_logged(self, row: Row) -> TargetEntry | None:
+        """Return the entry in a row, or log why it is ignored and return None."""
+        context = logger.bind(target=row.key, version=row.version)
+        try:
+            return self._decode(row)
+        except MalformedEntryError as error:
+            context.warning("ignoring a malformed entry: {}", error)
+        except Exception:
+            # One entry that the decoder did not foresee must not hide the others.
+            context.exception("ignoring an entry that cannot be decoded")
+        return None
+
     def _fingerprint(self, row: Row) -> Hashable:
         """Return the decoded entry, so that a check-in without other changes is not relayed."""
         try:
             return self._decode(row)
-        except MalformedEntryError:
-            # _apply_rows logs the error.
+        except Exception:
+            # _decode_logged logs the error when the row is applied.
             return row.value
 
     def _publish(self) -> None:
