Pass on how long earlier leaders may renew; start with fewer calls to the store

Cause, leadership: a new leader waited only for its direct predecessor's renewals. With A isolated, B in its place and resigned, C led while A still renewed; a leader that had resigned went on renewing for the rest of its lease without saying so; a resignation that met a renewal in flight was lost. Each was seen in the simulation: run_two_successors and run_resigned_leader show two holders of a key without the change. Ruled out: a longer wait after every takeover, which would keep the keys of lost targets away.

Cause, calls: each start made 15 calls, most of them polls of the registrations until the first leader had written the key of the links (24 machines: 434 calls in the first 4 s).

Change: the leader's row says for how long earlier leaders may renew, counted from its write; a leader that resigned renews for 1.5 s more, and its resignation waits for a write in flight.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -134,7 +134,7 @@
                 settings.instance, self._relay_exchange, self._apply_peer_reports, on_failure
             )
         self._targets = TargetTask(
-            self._open_store(adapter, is_large=True),
+            self._open_store(adapter, reads_from_peer=True),
             adapter.target_table,
             adapter.decode_target,
             self._targets_changed,
@@ -143,7 +143,7 @@
         )
         self._assignment = AssignmentTask(
             record,
-            lambda: self._open_store(adapter),
+            lambda reads_from_peer: self._open_store(adapter, reads_from_peer),
             adapter.commands,
             lambda: self._targets.confirmed_at.value,
             self._members_changed,
@@ -152,7 +152,7 @@
             on_failure,
         )
         self._routing = RoutingTask(
-            self._open_store(adapter, is_large=True),
+            self._open_store(adapter, reads_from_peer=True),
             adapter.operator_table,
             adapter.decode_record,
             self._configuration_changed,
@@ -209,10 +209,10 @@
         """Start the graceful stop."""
         self._lifecycle.tell(BeginDrain(reason))
 
-    def _open_store(self, adapter: PlatformAdapter, is_large: bool = False) -> RowStore:
+    def _open_store(self, adapter: PlatformAdapter, reads_from_peer: bool) -> RowStore:
         if self._relay_exchange is None:
             return adapter.open_store()
-        return RelayedStore(adapter.open_store(), self._relay_exchange, is_large)
+        return RelayedStore(adapter.open_store(), self._relay_exchange, reads_from_peer)
 
     def _gateway_context(
         self, adapter: PlatformAdapter, registry: CollectorRegistry
--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -142,7 +142,11 @@
         """Yield the commands that are due; must be called several times a second."""
         if self._table_requested_at > float("-inf") and self._leadership.is_write_due(now):
             self._leadership.record_write_started()
-            yield WriteLeader(self._leadership.record.version)
+            yield WriteLeader(
+                self._leadership.record.version,
+                self._leadership.earlier_renewals_s(now),
+                self._leadership.has_resigned,
+            )
         if not self._leadership.may_renew(now):
             return
         if self._table_requested_at <= self._leadership.took_over_at():
@@ -160,12 +164,9 @@
             if service not in self._services_being_written:
                 yield from self._map_writes(now, key_map)
 
-    def resign(self) -> WriteLeader | None:
-        """Give up leadership for good; return the write that allows an immediate takeover."""
-        was_leader = self._leadership.is_leader
-        self._leadership.resign()
-        version = self._leadership.record.version
-        return WriteLeader(version, resigns=True) if was_leader else None
+    def resign(self, now: float) -> None:
+        """Give up leadership for good; the next command of a leader is its resignation."""
+        self._leadership.resign(now)
 
     def handle_grant_ended(self, now: float, ended: GrantEnded) -> None:
         """Apply the outcome of a grant."""
@@ -240,6 +241,9 @@
             is_conflict = written.result is WriteResult.CONFLICT
             self._leadership.record_write_failure(now, is_conflict)
             return
+        if written.write.resigns:
+            self._leadership.record_resignation(written.version)
+            return
         was_leader = self._leadership.is_leader
         self._leadership.record_write(now, written.requested_at, written.version)
         if not was_leader:
--- a/packages/damasktide/src/damasktide/keyspace/assignment_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_task.py
@@ -110,7 +110,8 @@
     instance
         This instance.
     open_store
-        Returns a new client of the store; each task that calls it has its own.
+        Returns a new client of the store; each task that calls it has its own. The argument tells
+        whether the first read of a table may come from another instance.
     codec
         Encodes commands to targets and decodes their responses.
     confirmed_at
@@ -129,7 +130,7 @@
     def __init__(
         self,
         instance: InstanceRecord,
-        open_store: Callable[[], RowStore],
+        open_store: Callable[[bool], RowStore],
         codec: CommandCodec,
         confirmed_at: Callable[[], float],
         on_members_changed: Callable[[Members], None] = lambda members: None,
@@ -149,10 +150,10 @@
         self._assignment = AssignmentController(
             Leadership(instance.name, instance.boot), hold_s, region_by_domain
         )
-        self._writer = StoreWriter(open_store(), instance, self.tell)
-        self._follower = TableFollower(open_store(), TABLE, self.tell)
+        self._writer = StoreWriter(open_store(False), instance, self.tell)
+        self._follower = TableFollower(open_store(False), TABLE, self.tell)
         self._leader_follower = TableFollower(
-            open_store(),
+            open_store(True),
             LEADER_TABLE,
             self.tell,
             STANDBY_POLL_SCHEDULE,
@@ -165,9 +166,8 @@
         self._has_read_maps = False
 
     def on_start(self) -> None:
-        """Register the instance and follow its tables."""
+        """Follow the tables; the first read of its own table registers the instance."""
         self._writer.start()
-        self._writer.tell(RegisterInstance())
         self._follower.start()
         self._leader_follower.start()
 
@@ -216,6 +216,9 @@
             self._assignment.leadership.record_complete_read(self._clock.now())
             return
         self._assignment.record_table_read(message.requested_at)
+        if not self._has_read_maps:
+            # Without a link key each instance would call the store for every change.
+            self._writer.tell(RegisterInstance(provides_link_key=self._link_key is None))
         self._has_read_maps = True
         self._publish()
 
@@ -247,9 +250,8 @@
 
     @handles(Resign)
     def _resign(self, message: Resign) -> None:
-        write = self._assignment.resign()
-        if write is not None:
-            self._writer.tell(write)
+        self._assignment.resign(self._clock.now())
+        self._tick()
         self._writer.tell(RegisterInstance(is_leaving=True))
 
     def _apply_rows(self, rows: tuple[Row, ...]) -> None:
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -50,7 +50,12 @@
 
 def encode_leader(record: LeaderRecord) -> bytes:
     """Encode the leader as the value of its row."""
-    return json.dumps({"instance": record.instance, "boot": record.boot}).encode()
+    document = {
+        "instance": record.instance,
+        "boot": record.boot,
+        "earlier_renewals_s": record.earlier_renewals_s,
+    }
+    return json.dumps(document).encode()
 
 
 def decode_leader(version: int, value: bytes) -> LeaderRecord:
@@ -63,7 +68,13 @@
     """
     with _decoding("leader"):
         document = _decode_object(value)
-        return LeaderRecord(str(document["instance"]), str(document["boot"]), version)
+        return LeaderRecord(
+            str(document["instance"]),
+            str(document["boot"]),
+            version,
+            # Absent in the rows of earlier versions of this program.
+            float(document.get("earlier_renewals_s") or 0.0),
+        )
 
 
 def encode_instance(record: InstanceRecord) -> bytes:
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -1,6 +1,6 @@
 """Leader election: a lease in a row of the store decides which instance may change the maps."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 # Interval at which the leader rewrites its row.
@@ -17,6 +17,9 @@
 # A leader that cannot reach the store renews grants under the unchanged map for this long. This
 # covers store outages of some 10 s, which users report.
 LEADER_RENEWAL_LEASE_S = 15.0
+# A leader that resigned renews grants for this long. A successor takes over within two polls of
+# the row, its jitter, and a read of the maps.
+RESIGNED_RENEWAL_S = 1.5
 # Upper bound on the age of a row when its read completes.
 MAX_READ_AGE_S = 1.5
 # Upper bound on the difference in rate between two clocks.
@@ -33,11 +36,14 @@
         Name and boot id of the leading process; empty after it resigned.
     version
         Version of the row; 0 if there is none.
+    earlier_renewals_s
+        Seconds after the write of the row for which leaders before that one may renew grants.
     """
 
     instance: str = ""
     boot: str = ""
     version: int = 0
+    earlier_renewals_s: float = 0.0
 
 
 class Leadership:
@@ -66,8 +72,12 @@
         self._has_leader_ended = False
         self._takeover_after_s = TAKEOVER_AFTER_S
         self._has_resigned = False
+        self._is_resignation_written = False
+        self._renewals_end_at = float("inf")
         self._took_over_at = float("-inf")
         self._predecessor_renewals_end_at = float("-inf")
+        # End of the renewals of the leaders before the predecessor.
+        self._earlier_renewals_end_at = float("-inf")
         self._predecessor = LeaderRecord()
         self._is_predecessor_pending = False
 
@@ -83,7 +93,8 @@
 
     def may_renew(self, now: float) -> bool:
         """Return whether this process may renew grants under the known maps."""
-        return self.is_leader and now < self._write_requested_at + LEADER_RENEWAL_LEASE_S
+        lease_ends_at = self._write_requested_at + LEADER_RENEWAL_LEASE_S
+        return self.is_leader and now < min(lease_ends_at, self._renewals_end_at)
 
     def took_over_at(self) -> float:
         """Return when this process learned that its write had made it the leader."""
@@ -91,7 +102,21 @@
 
     def predecessor_renewals_end_at(self) -> float:
         """Return the time after which no earlier leader renews any grant."""
-        return self._predecessor_renewals_end_at
+        return max(self._predecessor_renewals_end_at, self._earlier_renewals_end_at)
+
+    def earlier_renewals_s(self, now: float) -> float:
+        """Return for how many seconds earlier leaders may renew, to be written into the row.
+
+        A successor observes the row after its write, so it can count the time from then.
+        """
+        if not self.is_leader:
+            own_lease_s = 0.0 if self._has_predecessor_ended() else LEADER_RENEWAL_LEASE_S
+            remaining_s = max(self._record.earlier_renewals_s, own_lease_s)
+        else:
+            remaining_s = self.predecessor_renewals_end_at() - now
+            if self._has_resigned:
+                remaining_s = max(remaining_s, self._renewals_end_at - now)
+        return max(0.0, remaining_s) * (1.0 + CLOCK_RATE_ERROR)
 
     def observe(self, now: float, record: LeaderRecord) -> None:
         """Apply the row as read from the store, unless its version is not newer."""
@@ -127,13 +152,13 @@
 
     def is_write_due(self, now: float) -> bool:
         """Return whether this process should write the row now, to renew or take over."""
-        if self._observed_at is None or self._is_writing or self._has_resigned:
-            return False
-        if now < self._next_write_at:
+        if self._observed_at is None or self._is_writing or now < self._next_write_at:
             return False
+        if self._has_resigned:
+            return self.is_leader and not self._is_resignation_written
         if self.is_leader:
             return now >= self._write_requested_at + LEADER_WRITE_INTERVAL_S
-        if not self._record.instance or self._has_leader_ended or self._is_own_earlier_process():
+        if self._has_predecessor_ended():
             return now >= self._observed_at + self._jitter_s
         return now >= self._observed_at + self._takeover_after_s + self._jitter_s
 
@@ -141,6 +166,12 @@
         """Record that a write is in flight."""
         self._is_writing = True
 
+    def record_resignation(self, version: int) -> None:
+        """Record a successful write of a row that names no leader."""
+        self._is_writing = False
+        self._is_resignation_written = True
+        self._record = replace(self._record, version=version)
+
     def record_write(self, now: float, requested_at: float, version: int) -> None:
         """Record a successful write: the row now names this process."""
         self._is_writing = False
@@ -161,9 +192,15 @@
         self._next_write_at = now + (CONFLICT_RETRY_S if is_conflict else WRITE_RETRY_S)
         self._jitter_s = self._rng.random() * TAKEOVER_JITTER_S
 
-    def resign(self) -> None:
-        """Stop taking part in the election."""
+    def resign(self, now: float) -> None:
+        """Stop taking part in the election, and stop renewing soon after.
+
+        Renewals go on until a successor has taken over, so that no hold expires in between. A
+        leader has to write its resignation into the row.
+        """
         self._has_resigned = True
+        self._next_write_at = now
+        self._renewals_end_at = now + RESIGNED_RENEWAL_S
 
     @property
     def has_resigned(self) -> bool:
@@ -172,8 +209,9 @@
 
     def _take_over(self, now: float, predecessor: LeaderRecord) -> None:
         self._predecessor = predecessor
+        self._earlier_renewals_end_at = now + predecessor.earlier_renewals_s
         self._took_over_at = now
-        if not predecessor.instance or self._has_leader_ended or self._is_own_earlier_process():
+        if self._has_predecessor_ended():
             self._predecessor_renewals_end_at = now
             self._is_predecessor_pending = False
         else:
@@ -185,5 +223,11 @@
     def _is_own(self, record: LeaderRecord) -> bool:
         return record.instance == self._instance and record.boot == self._boot
 
+    def _has_predecessor_ended(self) -> bool:
+        """Return whether the process that the row names, if any, has resigned or ended."""
+        return (
+            not self._record.instance or self._has_leader_ended or self._is_own_earlier_process()
+        )
+
     def _is_own_earlier_process(self) -> bool:
         return self._record.instance == self._instance and self._record.boot != self._boot
--- a/packages/damasktide/src/damasktide/keyspace/messages.py
+++ b/packages/damasktide/src/damasktide/keyspace/messages.py
@@ -177,11 +177,14 @@
     ----------
     version
         Version of the row it replaces.
+    earlier_renewals_s
+        Seconds for which earlier leaders may renew grants.
     resigns
         Whether the new row names no leader.
     """
 
     version: int
+    earlier_renewals_s: float = 0.0
     resigns: bool = False
 
 
@@ -214,9 +217,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RegisterInstance:
-    """Writes the row of this instance, or deletes it when the instance leaves."""
+    """Writes the row of this instance, or deletes it when the instance leaves.
+
+    Attributes
+    ----------
+    is_leaving
+        Whether to delete the row.
+    provides_link_key
+        Whether to write the shared key of the links with the row, unless there is one.
+    """
 
     is_leaving: bool = False
+    provides_link_key: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/keyspace/store_writer.py
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -80,34 +80,47 @@
     @handles(WriteLeader)
     def _write_leader(self, write: WriteLeader) -> None:
         requested_at = self._clock.now()
-        record = LeaderRecord()
+        earlier_renewals_s = write.earlier_renewals_s
+        record = LeaderRecord(earlier_renewals_s=earlier_renewals_s)
         if not write.resigns:
-            record = LeaderRecord(self._instance.name, self._instance.boot)
+            record = replace(record, instance=self._instance.name, boot=self._instance.boot)
         row = RowWrite(LEADER_TABLE, LEADER_KEY, encode_leader(record))
         result, version = self._write(row, (ExpectedRow(LEADER_TABLE, LEADER_KEY, write.version),))
         self._notify(LeaderWritten(write, result, requested_at, version))
 
     @handles(RegisterInstance)
     def _register(self, message: RegisterInstance) -> None:
-        value = None
-        if not message.is_leaving:
-            round_trip_s = self._store.round_trip_s()
-            value = encode_instance(replace(self._instance, store_round_trip_s=round_trip_s))
-        result, _ = self._write(RowWrite(TABLE, instance_key(self._instance.name), value), ())
-        if result is not WriteResult.WRITTEN and not message.is_leaving:
+        key = instance_key(self._instance.name)
+        if message.is_leaving:
+            self._write(RowWrite(TABLE, key, None), ())
+            return
+        record = replace(self._instance, store_round_trip_s=self._store.round_trip_s())
+        row = RowWrite(TABLE, key, encode_instance(record))
+        result = WriteResult.CONFLICT
+        if message.provides_link_key:
+            result, _ = self._write(_new_link_key(), (ExpectedRow(TABLE, LINK_KEY, 0),), row)
+        if result is WriteResult.CONFLICT:
+            result, _ = self._write(row, ())
+        if result is not WriteResult.WRITTEN:
             self.tell_later(message, REGISTER_RETRY_S)
 
     @handles(WriteLinkKey)
     def _write_link_key(self, message: WriteLinkKey) -> None:
-        row = RowWrite(TABLE, LINK_KEY, token_bytes(LINK_KEY_BYTES))
-        self._write(row, (ExpectedRow(TABLE, LINK_KEY, 0),))
+        self._write(_new_link_key(), (ExpectedRow(TABLE, LINK_KEY, 0),))
 
-    def _write(self, row: RowWrite, expected: tuple[ExpectedRow, ...]) -> tuple[WriteResult, int]:
+    def _write(
+        self, row: RowWrite, expected: tuple[ExpectedRow, ...], *others: RowWrite
+    ) -> tuple[WriteResult, int]:
+        """Write ``row`` and ``others`` in one transaction, on condition of ``expected``."""
         try:
-            return WriteResult.WRITTEN, self._store.write((row,), expected)
+            return WriteResult.WRITTEN, self._store.write((row, *others), expected)
         except ConditionFailedError:
             logger.bind(row=row.key).info("write rejected: another instance wrote first")
             return WriteResult.CONFLICT, 0
         except StoreUnavailableError as error:
             logger.bind(row=row.key, detail=str(error)).warning("write to the store failed")
             return WriteResult.UNKNOWN, 0
+
+
+def _new_link_key() -> RowWrite:
+    return RowWrite(TABLE, LINK_KEY, token_bytes(LINK_KEY_BYTES))
--- a/packages/damasktide/src/damasktide/keyspace/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/simulation.py
@@ -237,6 +237,10 @@
         for command in self.assignment_controller.commands(self.simulation.now):
             self._execute(command)
 
+    def resign(self) -> None:
+        """Give up leadership, as at the start of a planned stop."""
+        self.assignment_controller.resign(self.simulation.now)
+
     def _read_store(self) -> None:
         store, now = self.simulation.store, self.simulation.now
         if not self.is_registered:
@@ -392,7 +396,11 @@
         requested_at = self.simulation.now
         self._write(
             "leader",
-            LeaderRecord(self.name, self.boot),
+            LeaderRecord(
+                "" if write.resigns else self.name,
+                "" if write.resigns else self.boot,
+                earlier_renewals_s=write.earlier_renewals_s,
+            ),
             {"leader": write.version},
             lambda assignment_controller, result, version: (
                 assignment_controller.handle_leader_written(
--- a/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
@@ -5,6 +5,7 @@
 
 from damasktide.keyspace.leadership import (
     LEADER_RENEWAL_LEASE_S,
+    RESIGNED_RENEWAL_S,
     TAKEOVER_AFTER_S,
     TAKEOVER_JITTER_S,
     LeaderRecord,
@@ -75,9 +76,46 @@
 
     def test_resigned_instance_does_not_take_over(self) -> None:
         self.lease.observe(0.0, OTHER)
-        self.lease.resign()
+        self.lease.resign(0.0)
         self.assertFalse(self.lease.is_write_due(100.0))
 
+    def test_renewals_of_all_earlier_leaders_are_passed_on(self) -> None:
+        """Guards against two owners after a leader is isolated and its successor resigns."""
+        self.lease.observe(0.0, OTHER)
+        self.assertGreaterEqual(self.lease.earlier_renewals_s(3.0), LEADER_RENEWAL_LEASE_S)
+        self.take_over(3.0)
+        self.assertGreaterEqual(self.lease.earlier_renewals_s(8.0), LEADER_RENEWAL_LEASE_S - 5.0)
+        successor = Leadership("third", "boot-3", Random(2))
+        written_s = self.lease.earlier_renewals_s(8.0)
+        successor.observe(8.1, LeaderRecord("", "", 7, written_s))
+        successor.record_write_started()
+        successor.record_write(8.2, 8.1, 8)
+        self.assertGreaterEqual(
+            successor.predecessor_renewals_end_at(), 3.0 + LEADER_RENEWAL_LEASE_S
+        )
+
+    def test_resigned_leader_stops_to_renew_and_says_when(self) -> None:
+        self.lease.observe(0.0, OTHER)
+        self.lease.observe_boot(1.0, "other", "boot-2")
+        self.take_over(3.0)
+        self.lease.resign(5.0)
+        self.assertTrue(self.lease.may_renew(5.0 + RESIGNED_RENEWAL_S - 0.1))
+        self.assertFalse(self.lease.may_renew(5.0 + RESIGNED_RENEWAL_S))
+        self.assertGreaterEqual(self.lease.earlier_renewals_s(5.0), RESIGNED_RENEWAL_S)
+
+    def test_resignation_is_written_after_a_write_in_flight(self) -> None:
+        """Guards against a resignation that is lost because a renewal changed the row first."""
+        self.lease.observe(0.0, OTHER)
+        self.take_over(3.0)
+        self.lease.record_write_started()
+        self.lease.resign(5.0)
+        self.assertFalse(self.lease.is_write_due(5.0))
+        self.lease.record_write(5.1, 5.0, 7)
+        self.assertTrue(self.lease.is_write_due(5.1))
+        self.lease.record_write_started()
+        self.lease.record_resignation(8)
+        self.assertFalse(self.lease.is_write_due(9.0))
+
     def test_resigned_leader_is_replaced_at_once(self) -> None:
         self.lease.observe(0.0, LeaderRecord("", "", 7))
         self.assertTrue(self.lease.is_write_due(TAKEOVER_JITTER_S))
--- a/packages/damasktide/src/damasktide/keyspace/tests/test_one_owner.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_one_owner.py
@@ -1,13 +1,15 @@
 """Seeded faults of targets, instances and the store: no two live targets hold the same key."""
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 from unittest.mock import patch
 
+from damasktide.keyspace import leadership
 from damasktide.keyspace.assignment_controller import HOLD_S, AssignmentController
 from damasktide.keyspace.grant_expiry import GrantExpiryTracker
 from damasktide.keyspace.key_map import Incarnation, KeyRange
+from damasktide.keyspace.leadership import LEADER_RENEWAL_LEASE_S, Leadership
 from damasktide.keyspace.messages import Grant, Release
 from damasktide.keyspace.path_delay import (
     CONGESTED_ARRIVAL_DELAY_S,
@@ -127,6 +129,15 @@
     simulation.schedule(simulation.rng.uniform(0.5, 5.0), instance.start)
 
 
+def stop_leader(simulation: Simulation) -> None:
+    """Let the leader resign and end some seconds later, as in a planned stop."""
+    instance = leader(simulation)
+    instance.resign()
+    ends_after_s = simulation.rng.uniform(0.5, 5.0)
+    simulation.schedule(ends_after_s, lambda: setattr(instance, "is_up", False))
+    simulation.schedule(ends_after_s + simulation.rng.uniform(0.1, 2.0), instance.start)
+
+
 @faults.register("freeze_leader")
 def pause_leader(simulation: Simulation) -> None:
     leader(simulation).paused_until = simulation.now + simulation.rng.uniform(0.5, 20.0)
@@ -166,11 +177,13 @@
     )
 
 
-def run_with_faults(seed: int) -> Simulation:
+def run_with_faults(
+    seed: int, more_faults: Sequence[Callable[[Simulation], None]] = ()
+) -> Simulation:
     simulation = new_simulation(seed)
-    names = list(faults)
+    actions = [*(faults.get(name) for name in faults), *more_faults]
     while simulation.now < FAULT_PERIOD_S:
-        faults.get(simulation.rng.choice(names))(simulation)
+        simulation.rng.choice(actions)(simulation)
         simulation.run(simulation.rng.uniform(0.2, 4.0))
     simulation.run(RECOVERY_S)
     return simulation
@@ -189,6 +202,22 @@
                 self.assertEqual(simulation.violations[:3], [])
                 self.assertGreaterEqual(simulation.served_share(), FULLY_SERVED)
 
+    def test_seeded_faults_and_planned_stops(self) -> None:
+        """Guards against a leader that resigned and its successor acting at the same time."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulation = run_with_faults(seed, (stop_leader, stop_leader))
+                self.assertEqual(simulation.violations[:3], [])
+                self.assertGreaterEqual(simulation.served_share(), FULLY_SERVED)
+
+    def test_keys_stay_held_while_a_leader_resigns(self) -> None:
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                simulation = new_simulation(seed)
+                leader(simulation).resign()
+                shares = [share for _, share in shares_over(simulation, 4.0)]
+                self.assertGreaterEqual(min(shares), FULLY_SERVED)
+
     def test_lost_target_is_replaced_within_two_seconds(self) -> None:
         simulation = new_simulation(2)
         any_target(simulation).crash()
@@ -300,8 +329,53 @@
             self.assertTrue(self.run_isolated_leader().violations)
         self.assertEqual(self.run_isolated_leader().violations, [])
 
+    def test_without_the_renewals_of_leaders_before_the_predecessor(self) -> None:
+        """A is isolated, B takes over and resigns, C leads while A still renews grants."""
+        with patch.object(Leadership, "earlier_renewals_s", lambda self, now: 0.0):
+            self.assertTrue(self.run_two_successors().violations)
+        self.assertEqual(self.run_two_successors().violations, [])
+
+    def test_without_an_end_of_the_renewals_of_a_leader_that_resigned(self) -> None:
+        """A leader that resigned renews grants at a target that its successor cannot reach."""
+        self.assertEqual(self.run_resigned_leader().violations, [])
+        with (
+            patch.object(Leadership, "earlier_renewals_s", lambda self, now: 0.0),
+            patch.object(leadership, "RESIGNED_RENEWAL_S", LEADER_RENEWAL_LEASE_S),
+        ):
+            self.assertTrue(self.run_resigned_leader().violations)
+
+    def run_two_successors(self) -> Simulation:
+        simulation, first, _ = self.isolate_leader_with_target()
+        simulation.run(3.0)
+        second = next(
+            instance
+            for instance in simulation.instances.values()
+            if instance is not first and instance.assignment_controller.leadership.is_leader
+        )
+        second.resign()
+        simulation.run(0.2)
+        second.is_up = False
+        simulation.run(9.0)
+        return simulation
+
+    def run_resigned_leader(self) -> Simulation:
+        simulation, first, _ = self.isolate_leader_with_target()
+        first.is_cut_from_store = False
+        first.resign()
+        simulation.run(0.2)
+        first.is_cut_from_store = True
+        simulation.run(8.0)
+        return simulation
+
     def run_isolated_leader(self) -> Simulation:
         """Let a leader without the store renew grants at a target its successor cannot reach."""
+        simulation, _, _ = self.isolate_leader_with_target()
+        simulation.run(12.0)
+        return simulation
+
+    @staticmethod
+    def isolate_leader_with_target() -> tuple[Simulation, Instance, Target]:
+        """Isolate a leader from the store, and a target from all but that leader."""
         simulation = new_simulation(5)
         old_leader = leader(simulation)
         old_leader.is_cut_from_store = True
@@ -310,5 +384,4 @@
         for instance in simulation.instances.values():
             if instance is not old_leader:
                 instance.unreachable.add(target.name)
-        simulation.run(12.0)
-        return simulation
+        return simulation, old_leader, target
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -50,8 +50,8 @@
 class RelayedStore:
     """Requests changes from other instances, and from the store if they have no fresh data.
 
-    Writes always go to the store. Full reads also do, except the first read of a large table in a
-    large failure domain or far from the store.
+    Writes always go to the store. Full reads also do, except the first read of a table in a large
+    failure domain or far from the store.
 
     Parameters
     ----------
@@ -59,14 +59,16 @@
         Client of the store.
     exchange
         Links to other instances.
-    is_large
-        Whether the table is so large that a starting instance reads it from another one.
+    reads_from_peer
+        Whether the first read of a table may come from another instance.
     """
 
-    def __init__(self, store: RowStore, exchange: RelayExchange, is_large: bool = False) -> None:
+    def __init__(
+        self, store: RowStore, exchange: RelayExchange, reads_from_peer: bool = False
+    ) -> None:
         self._store = store
         self._exchange = exchange
-        self._reads_from_peer = is_large
+        self._reads_from_peer = reads_from_peer
         self._is_interrupted = False
 
     def read_table(self, table: str) -> TableState:
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -167,9 +167,9 @@
     def setUp(self) -> None:
         self.store = FakeStore()
 
-    def client(self, name: str, reply: ChangesReply, is_large: bool = True) -> RelayedStore:
+    def client(self, name: str, reply: ChangesReply, reads_from_peer: bool = True) -> RelayedStore:
         self.exchange = FakeExchange(name, reply)
-        return RelayedStore(self.store, self.exchange, is_large)  # type: ignore[arg-type]
+        return RelayedStore(self.store, self.exchange, reads_from_peer)  # type: ignore[arg-type]
 
     def test_table_is_read_from_another_instance(self) -> None:
         """Guards against saturating the link between regions with copies of one table."""
@@ -178,10 +178,10 @@
         self.assertEqual([row.value for row in state.rows], [b"new"])
         self.assertEqual(self.store.calls, 0)
 
-    def test_first_instances_and_small_tables_read_from_the_store(self) -> None:
-        for name, is_large in ((ROOT, True), (ORDER[1].name, True), (LAST, False)):
+    def test_first_instances_and_the_own_table_are_read_from_the_store(self) -> None:
+        for name, reads_from_peer in ((ROOT, True), (ORDER[1].name, True), (LAST, False)):
             self.store.calls = 0
-            client = self.client(name, changes(), is_large)
+            client = self.client(name, changes(), reads_from_peer)
             self.assertIsNone(client.read_table(TABLE).relayed_age_s)
             self.assertEqual((self.store.calls, self.exchange.requested_peers), (1, []))
 
@@ -220,7 +220,7 @@
         self.exchange.sources.set_order(
             ORDER, Upstream((self.NEAR, self.OTHER_NEAR), frozenset(), 1)
         )
-        return RelayedStore(self.store, self.exchange, is_large=True)  # type: ignore[arg-type]
+        return RelayedStore(self.store, self.exchange, reads_from_peer=True)  # type: ignore[arg-type]
 
     def test_root_asks_an_instance_near_the_store(self) -> None:
         client = self.client(changes())
