Respect Server-Leaving and Retry-After of targets

Cause: two new rules of the platform that the code did not know. A target that leaves says so in its responses, also while its entry says ready or the store is away; a target that sheds may ask for no requests for some time.

Change: an announced end holds for the incarnation, also past its entry; the target gets no requests without a key at once and its keys move as when it drains; as an owner it serves until a second before its drain time ends, so that keys that cannot move are served. If all targets pause, the refusal names the end of the first pause.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -10,8 +10,7 @@
 
 from damasktide.dispatch.dispatcher import Dispatcher
 from damasktide.dispatch.link_budget import LinkBudget
-from damasktide.dispatch.load_estimate import LoadReport
-from damasktide.gateway.dialect import Dialect
+from damasktide.gateway.dialect import Dialect, ResponseMetadata
 from damasktide.gateway.handler import GatewayContext, GatewayHandler
 from damasktide.gateway.probe_listener import ProbeHandler
 from damasktide.gateway.telemetry import GatewayTelemetry
@@ -50,7 +49,12 @@
 from damasktide.runtime.published import Published
 from damasktide.settings.gateway import GatewaySettings
 from damasktide.targets.target import TargetView
-from damasktide.targets.task import EvacuatedDomains, TargetDecoder, TargetTask
+from damasktide.targets.task import (
+    EvacuatedDomains,
+    TargetDecoder,
+    TargetLeaving,
+    TargetTask,
+)
 
 # The platform checks readiness every second and removes a machine after two failed checks.
 SERVE_AFTER_DRAIN_S = 2.6
@@ -166,7 +170,10 @@
         }
         self._snapshots.update((table, follower.snapshot) for table, follower in followers.items())
         self._dispatcher = Dispatcher(
-            settings.domain, settings.region_by_domain, settings.instance
+            settings.domain,
+            settings.region_by_domain,
+            settings.instance,
+            drain_s=settings.drain_s,
         )
         self._pool = ConnectionPool()
         self._handler = GatewayHandler(self._gateway_context(adapter, registry))
@@ -230,7 +237,7 @@
             self._settings.retry_limits,
             GatewayTelemetry(registry),
             LinkBudget(self._settings.link_mbps),
-            self._record_load_report,
+            self._record_response,
         )
 
     def _limits(self) -> CallerLimits:
@@ -280,9 +287,11 @@
             RelayGroup(members.link_key, own_domain_peers, roots, asked_first)
         )
 
-    def _record_load_report(self, incarnation: tuple[str, int], report: LoadReport) -> None:
-        if self._load_exchange is not None:
-            self._load_exchange.record_own_report(incarnation, report)
+    def _record_response(self, incarnation: tuple[str, int], metadata: ResponseMetadata) -> None:
+        if self._load_exchange is not None and metadata.report is not None:
+            self._load_exchange.record_own_report(incarnation, metadata.report)
+        if metadata.is_leaving:
+            self._targets.tell(TargetLeaving(incarnation))
 
     def _apply_peer_reports(self, now: float, reports: Sequence[PeerReport]) -> None:
         for peer_report in reports:
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -13,9 +13,10 @@
     TargetQuery,
     TargetSelection,
 )
+from damasktide.dispatch.pauses import PauseRegister
 from damasktide.dispatch.policies import Policy, RankingContext, dispatch_policies
 from damasktide.routing.configuration import Service
-from damasktide.targets.target import TargetEntry, TargetView
+from damasktide.targets.target import TargetEntry, TargetState, TargetView
 
 # Penalties for leaving this failure domain or region, added to the expected finish time, as
 # fractions of the route's objective. Traffic between domains is billed, so a nearby target is
@@ -45,6 +46,9 @@
 MAX_RETRY_AFTER_S = 1.0
 # Time within which a lost target is replaced or a key is assigned to another owner.
 RECOVERY_RETRY_AFTER_S = 0.8
+# An owner that announced its end in a response gets requests for its keys until this long before
+# it stops to serve. Allows for requests that are on their way.
+LEAVING_OWNER_MARGIN_S = 1.0
 
 
 class Dispatcher:
@@ -60,6 +64,8 @@
         Random number generator.
     policy
         Name of the policy that ranks targets.
+    drain_s
+        Seconds for which a target that announced its end still serves requests.
     """
 
     def __init__(
@@ -69,6 +75,7 @@
         instance: str = "",
         rng: Random | None = None,
         policy: str = "expected_finish",
+        drain_s: float = 0.0,
     ) -> None:
         self._domain = domain
         self._region_by_domain = region_by_domain
@@ -80,6 +87,8 @@
         self._estimate_by_incarnation: dict[tuple[str, int], LoadEstimate] = {}
         self._cold_limiter = ColdStartLimiter(instance)
         self._typical_call_s_by_route: dict[str, float] = {}
+        self._pauses = PauseRegister()
+        self._leaving_owner_s = max(0.0, drain_s - LEAVING_OWNER_MARGIN_S)
 
     def set_targets(self, now: float, view: TargetView) -> None:
         """Replace the known targets; the estimates of incarnations that remain are kept."""
@@ -140,6 +149,7 @@
 
     def record_outcome(self, now: float, outcome: CallOutcome) -> None:
         """Record the outcome of a call."""
+        self._pauses.record(now, outcome.entry.incarnation, outcome.pause_s)
         estimate = self._estimate_by_incarnation.get(outcome.entry.incarnation)
         if estimate is None:
             return
@@ -175,9 +185,12 @@
 
     def _find_owner(self, now: float, query: TargetQuery) -> LoadEstimate | NoTarget:
         assert query.owner_id is not None
-        entry = self._view.usable(query.owner_id)
+        entry = self._view.usable(query.owner_id) or self._leaving_owner(now, query.owner_id)
         if entry is None or not self._is_allowed(entry, query):
             return NoTarget(NoTargetReason.OWNER_UNUSABLE, RECOVERY_RETRY_AFTER_S)
+        pause_s = self._pauses.remaining_s(now, entry.incarnation)
+        if pause_s > 0.0:
+            return NoTarget(NoTargetReason.PAUSED, pause_s)
         estimate = self._estimate_by_incarnation[entry.incarnation]
         if now < estimate.unreachable_until:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
@@ -185,6 +198,15 @@
             return NoTarget(NoTargetReason.ALL_COLD, RECOVERY_RETRY_AFTER_S)
         return self._admit_if_in_time(now, estimate, query)
 
+    def _leaving_owner(self, now: float, target_id: str) -> TargetEntry | None:
+        """Return an owner that announced its end in a response while it still serves."""
+        since = self._view.leaving_since_by_id.get(target_id)
+        if since is None or now >= since + self._leaving_owner_s:
+            return None
+        entry = self._view.entry_by_id[target_id]
+        is_evacuated = entry.domain in self._view.evacuated_domains
+        return entry if entry.state is TargetState.LEAVING and not is_evacuated else None
+
     def _find_best(self, now: float, query: TargetQuery) -> LoadEstimate | NoTarget:
         usable = self._view.usable_by_service.get(query.service.name, ())
         if not usable:
@@ -195,7 +217,11 @@
         untried = [entry for entry in allowed if entry.target_id not in query.tried_ids]
         if not untried:
             return NoTarget(NoTargetReason.ALL_TRIED, MIN_RETRY_AFTER_S)
-        estimates = [self._estimate_by_incarnation[entry.incarnation] for entry in untried]
+        pause_s = [self._pauses.remaining_s(now, entry.incarnation) for entry in untried]
+        accepting = [entry for entry, rest_s in zip(untried, pause_s, strict=True) if not rest_s]
+        if not accepting:
+            return NoTarget(NoTargetReason.PAUSED, min(pause_s))
+        estimates = [self._estimate_by_incarnation[entry.incarnation] for entry in accepting]
         reachable = [estimate for estimate in estimates if now >= estimate.unreachable_until]
         if not reachable:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
--- a/packages/damasktide/src/damasktide/dispatch/messages.py
+++ b/packages/damasktide/src/damasktide/dispatch/messages.py
@@ -18,6 +18,7 @@
     TOO_LATE = "too_late"
     ALL_TRIED = "all_tried"
     OWNER_UNUSABLE = "owner_unusable"
+    PAUSED = "paused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +126,8 @@
         Load factor of the :class:`TargetSelection` that the call was made for.
     report
         The target's load report, if the response carried one.
+    pause_s
+        Seconds for which the target wants no requests of this instance.
     """
 
     entry: TargetEntry
@@ -139,3 +142,4 @@
     is_abandoned: bool = False
     load_factor: float = 1.0
     report: LoadReport | None = None
+    pause_s: float = 0.0
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -9,7 +9,6 @@
 from loguru import logger
 
 from damasktide.dispatch.dispatcher import Dispatcher
-from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.dispatch.messages import (
     CallOutcome,
     NoTarget,
@@ -20,6 +19,7 @@
 from damasktide.dispatch.retry_allowance import RetryAllowance
 from damasktide.gateway.attempt_records import FailedAttempt, TargetAttempt
 from damasktide.gateway.call import TargetCall, TargetResponse
+from damasktide.gateway.dialect import ResponseMetadata
 from damasktide.gateway.refusals import Reason, Refusal, not_run_refusal
 from damasktide.gateway.request import GatewayRequest
 from damasktide.http1.errors import CallError, CallFailure
@@ -41,6 +41,8 @@
 REFUSAL_RETRY_AFTER_S = 0.3
 
 OpenCall = Callable[[GatewayRequest, TargetEntry], TargetCall]
+# Receives the incarnation of a target and the metadata of its response.
+OnResponse = Callable[[tuple[str, int], ResponseMetadata], None]
 
 
 class Attempts:
@@ -62,8 +64,8 @@
         Returns the number of instances that share the retry budget.
     open_call
         Creates a call to a target.
-    on_report
-        Called with the incarnation of a target and the load that it reports.
+    on_response
+        Called with the incarnation of a target and the metadata of each of its responses.
     """
 
     def __init__(
@@ -74,9 +76,7 @@
         maps: Callable[[], Mapping[str, KeyMap]],
         instance_count: Callable[[], int],
         open_call: OpenCall,
-        on_report: Callable[[tuple[str, int], LoadReport], None] = lambda incarnation, report: (
-            None
-        ),
+        on_response: OnResponse = lambda incarnation, metadata: None,
     ) -> None:
         self._request = request
         self._dispatcher = dispatcher
@@ -84,7 +84,7 @@
         self._maps = maps
         self._instance_count = instance_count
         self._open_call = open_call
-        self._on_report = on_report
+        self._on_response = on_response
         self._call: TargetCall | None = None
         self._open_attempts: list[TargetAttempt] = []
         self._response_deadline = request.deadline + RESPONSE_GRACE_S
@@ -340,10 +340,9 @@
     def _record_response(
         self, attempt: TargetAttempt, response: TargetResponse, **outcome: Any
     ) -> None:
-        report = response.metadata.report
-        if report is not None:
-            self._on_report(attempt.selection.entry.incarnation, report)
-        self._close_attempt(attempt, report=report, **outcome)
+        metadata = response.metadata
+        self._on_response(attempt.selection.entry.incarnation, metadata)
+        self._close_attempt(attempt, report=metadata.report, pause_s=metadata.pause_s, **outcome)
 
     def _close_attempt(self, attempt: TargetAttempt, **outcome: Any) -> None:
         self._open_attempts.remove(attempt)
--- a/packages/damasktide/src/damasktide/gateway/dialect.py
+++ b/packages/damasktide/src/damasktide/gateway/dialect.py
@@ -48,6 +48,10 @@
         Whether the body has a content encoding, so that it is not as the target produced it.
     report
         Load report of the target, or None if the response carries none.
+    is_leaving
+        Whether the target announces that it is about to end.
+    pause_s
+        Seconds for which the target wants no requests of this instance.
     """
 
     request_id: bytes | None
@@ -56,6 +60,8 @@
     is_misdirected: bool
     is_encoded: bool
     report: LoadReport | None = None
+    is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class Dialect(Protocol):
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -8,9 +8,8 @@
 
 from damasktide.dispatch.dispatcher import Dispatcher
 from damasktide.dispatch.link_budget import LinkBudget
-from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.dispatch.retry_allowance import RetryAllowance, RetryLimits
-from damasktide.gateway.attempts import Attempts
+from damasktide.gateway.attempts import Attempts, OnResponse
 from damasktide.gateway.call import (
     CONNECT_TIMEOUT_S,
     CROSS_REGION_CONNECT_TIMEOUT_S,
@@ -69,8 +68,8 @@
         Counts and logs how requests end.
     link
         Bandwidth budget of the network link of this machine.
-    on_report
-        Called with the incarnation of a target and the load that it reports.
+    on_response
+        Called with the incarnation of a target and the metadata of each of its responses.
     """
 
     dialect: Dialect
@@ -85,7 +84,7 @@
     retry_limits: RetryLimits
     telemetry: GatewayTelemetry
     link: LinkBudget = field(default_factory=lambda: LinkBudget(0.0))
-    on_report: Callable[[tuple[str, int], LoadReport], None] = lambda incarnation, report: None
+    on_response: OnResponse = lambda incarnation, metadata: None
 
 
 class GatewayHandler:
@@ -183,7 +182,7 @@
             self._context.maps,
             self._context.instance_count,
             self._open_call,
-            self._context.on_report,
+            self._context.on_response,
         )
         caller.watch_for_disconnect(attempts.abort)
         try:
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -35,6 +35,8 @@
         Bandwidth of the machine's network link in Mbit/s.
     longest_hold_s
         Longest time in seconds for which keys may be granted.
+    drain_s
+        Seconds for which a target that announced its end still serves requests.
     log_level
         Minimum level of log lines.
     """
@@ -50,4 +52,5 @@
     longest_hold_s: float = 10.0
     peer_listen: Address | None = None
     link_mbps: float = 0.0
+    drain_s: float = 0.0
     log_level: str = "INFO"
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -1,12 +1,17 @@
 """Directory of the listed targets; keeps entries that expire during a store outage."""
 
 from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import replace
 
-from damasktide.targets.target import TargetEntry, TargetView
+from damasktide.targets.target import TargetEntry, TargetState, TargetView
 
 # Time for which entries that expired during a store outage are kept, counted from the first
 # response after the outage. Live targets are listed again within 2 s of the store's return.
 EXPIRED_ENTRY_GRACE_S = 2.2
+# Number of incarnations remembered as leaving. They are kept after their entries have gone,
+# because an entry may lapse and return.
+MAX_LEAVING = 4096
 
 
 class TargetDirectory:
@@ -25,6 +30,7 @@
         self._kept_until_by_id: dict[str, float | None] = {}
         self._is_store_unavailable = False
         self._store_available_at = float("-inf")
+        self._leaving_since_by_incarnation: dict[tuple[str, int], float] = {}
         self._view = TargetView()
 
     @property
@@ -109,6 +115,19 @@
             self._remove(target_id)
         return expired
 
+    def record_leaving(self, now: float, incarnation: tuple[str, int]) -> bool:
+        """Record that a target announced its end in a response; return whether that is new.
+
+        The announcement holds for the rest of this incarnation, whatever its entry says.
+        """
+        if incarnation in self._leaving_since_by_incarnation:
+            return False
+        self._leaving_since_by_incarnation[incarnation] = now
+        if len(self._leaving_since_by_incarnation) > MAX_LEAVING:
+            del self._leaving_since_by_incarnation[next(iter(self._leaving_since_by_incarnation))]
+        self._rebuild()
+        return True
+
     def set_evacuated(self, domains: frozenset[str]) -> bool:
         """Replace the failure domains whose targets get no work; return whether they changed."""
         if domains == self._evacuated_domains:
@@ -126,11 +145,25 @@
         self._rebuild()
 
     def _rebuild(self) -> None:
-        view = TargetView(dict(self._entry_by_id), {}, self._evacuated_domains)
+        entry_by_id = {entry.target_id: entry for entry in self._effective_entries()}
+        leaving_since_by_id = {
+            target_id: since
+            for (target_id, _), since in self._leaving_since_by_incarnation.items()
+            if target_id in entry_by_id and entry_by_id[target_id].state is not TargetState.READY
+        }
+        view = TargetView(entry_by_id, {}, self._evacuated_domains, leaving_since_by_id)
         usable_by_service: dict[str, list[TargetEntry]] = defaultdict(list)
         for target_id in sorted(self._entry_by_id):
             entry = view.usable(target_id)
             if entry is not None:
                 usable_by_service[entry.service].append(entry)
         by_service = {service: tuple(entries) for service, entries in usable_by_service.items()}
-        self._view = TargetView(view.entry_by_id, by_service, self._evacuated_domains)
+        self._view = replace(view, usable_by_service=by_service)
+
+    def _effective_entries(self) -> Iterator[TargetEntry]:
+        for entry in self._entry_by_id.values():
+            is_leaving = entry.incarnation in self._leaving_since_by_incarnation
+            if is_leaving and entry.state is TargetState.READY:
+                yield replace(entry, state=TargetState.LEAVING)
+            else:
+                yield entry
--- a/packages/damasktide/src/damasktide/targets/target.py
+++ b/packages/damasktide/src/damasktide/targets/target.py
@@ -9,7 +9,10 @@
     """Whether a target may be given work."""
 
     READY = "ready"
+    # The target announced its end in the list.
     DRAINING = "draining"
+    # The target announced its end in a response, and its entry does not say so yet.
+    LEAVING = "leaving"
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +64,15 @@
         Targets that may be given work, ordered by id.
     evacuated_domains
         Failure domains whose targets get no work.
+    leaving_since_by_id
+        Monotonic time in seconds at which each listed target that announced its end in a response
+        was first seen to do so.
     """
 
     entry_by_id: Mapping[str, TargetEntry] = field(default_factory=dict)
     usable_by_service: Mapping[str, tuple[TargetEntry, ...]] = field(default_factory=dict)
     evacuated_domains: frozenset[str] = frozenset()
+    leaving_since_by_id: Mapping[str, float] = field(default_factory=dict)
 
     def usable(self, target_id: str) -> TargetEntry | None:
         """Return the target if it may be given work, else None."""
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -37,6 +37,13 @@
     domains: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving:
+    """A target announced its end in a response."""
+
+    incarnation: tuple[str, int]
+
+
 class TargetTask(Task):
     """Owns the directory of targets and publishes its view.
 
@@ -127,6 +134,13 @@
             logger.bind(domains=sorted(message.domains)).info("evacuated failure domains changed")
         self._publish()
 
+    @handles(TargetLeaving)
+    def _leaving(self, message: TargetLeaving) -> None:
+        if self._directory.record_leaving(monotonic(), message.incarnation):
+            target_id, started_at_ms = message.incarnation
+            logger.bind(target=target_id, life=started_at_ms).info("target announced its end")
+        self._publish()
+
     def _apply_rows(self, rows: tuple[Row, ...]) -> None:
         now = monotonic()
         for row in rows:
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from damasktide.targets.directory import EXPIRED_ENTRY_GRACE_S, TargetDirectory
+from damasktide.targets.directory import (
+    EXPIRED_ENTRY_GRACE_S,
+    MAX_LEAVING,
+    TargetDirectory,
+)
 from damasktide.targets.target import TargetEntry, TargetState
 
 
@@ -29,6 +33,34 @@
         self.assertEqual(usable_ids(self.directory), [])
         self.assertIn("t1", self.directory.view.entry_by_id)
 
+    def test_target_that_announced_its_end_in_a_response_gets_no_work(self) -> None:
+        """Guards against requests to a leaving target while the store is away."""
+        self.directory.record_store_unavailable()
+        self.assertTrue(self.directory.record_leaving(1.0, ("t1", 1)))
+        self.assertFalse(self.directory.record_leaving(2.0, ("t1", 1)))
+        self.assertEqual(usable_ids(self.directory), [])
+        self.assertEqual(self.directory.view.leaving_since_by_id, {"t1": 1.0})
+
+    def test_announcement_outlasts_the_entry(self) -> None:
+        """Guards against an entry that lapses, returns, and lists the target as ready again."""
+        self.directory.record_leaving(1.0, ("t1", 1))
+        self.directory.record_unlisted(2.0, 2, "t1")
+        self.directory.record_listed(5.0, 3, entry())
+        self.assertEqual(usable_ids(self.directory), [])
+        self.assertEqual(self.directory.view.leaving_since_by_id, {"t1": 1.0})
+
+    def test_announcement_does_not_hold_for_the_next_incarnation(self) -> None:
+        self.directory.record_leaving(1.0, ("t1", 1))
+        self.directory.record_listed(2.0, 2, entry(incarnation=2))
+        self.assertEqual(usable_ids(self.directory), ["t1"])
+        self.assertEqual(self.directory.view.leaving_since_by_id, {})
+
+    def test_number_of_remembered_announcements_is_limited(self) -> None:
+        for number in range(MAX_LEAVING + 10):
+            self.directory.record_leaving(1.0, (f"x{number}", 1))
+        self.assertFalse(self.directory.record_leaving(2.0, (f"x{MAX_LEAVING + 9}", 1)))
+        self.assertTrue(self.directory.record_leaving(2.0, ("x0", 1)))
+
     def test_stale_row_does_not_make_a_draining_target_usable(self) -> None:
         """The store may return older rows after an outage."""
         self.directory.record_listed(1.0, 5, entry(state=TargetState.DRAINING))
