Take no response without an id on a used connection for the current request

Cause: a late second response that carries no id was taken for the response to the request that uses the connection next. If it was a refusal, the caller was told that its booking had not run while the target ran it. Ruled out: skipping it, because the target's own response may be the one without an id.

Change: on a connection that carried an earlier request such a response ends the call with an unknown outcome; on a new connection it counts as before.

Result: test_call plays late copies with and without an id and an interrupted wait; the one without an id fails without the change.

--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -57,7 +57,8 @@
     head
         Head of the caller's request.
     request_id
-        Id of the request, or None; responses that carry another id are skipped.
+        Id of the request, or None; responses that carry another id are skipped, and one without
+        an id on a connection that was in use before is an error.
     connect_timeout_s
         Timeout in seconds for opening a connection.
 
@@ -85,6 +86,7 @@
         self._response_head: ResponseHead | None = None
         self._response_metadata: ResponseMetadata | None = None
         self._is_aborted = False
+        self._is_connection_reused = False
         self._connect_timeout_s = connect_timeout_s
         self.started_at = monotonic()
 
@@ -134,6 +136,9 @@
         while self._response_head is None:
             head = connection.read_head(self._head.method, until)
             metadata = self._dialect.response_metadata(head)
+            if metadata.request_id is None and self._may_be_late():
+                connection.is_broken = True
+                raise CallError(CallFailure.NOT_HTTP, "a response without an id may be a late one")
             if metadata.request_id in (None, self._request_id):
                 self._response_head = head
                 self._response_metadata = metadata
@@ -182,8 +187,16 @@
             self._connection.close()
             self._connection = None
 
+    def _may_be_late(self) -> bool:
+        """Return whether a response without an id may belong to an earlier request.
+
+        It may even state that this request was not run while the target runs it.
+        """
+        return self._is_connection_reused and self._request_id is not None
+
     def _send_on_pooled_connection(self, data: bytes) -> None:
         self._connection = self._pool.acquire(self._entry.address, self._connect_timeout_s)
+        self._is_connection_reused = self._connection.send_count > 0
         try:
             self._require_connection().send(data)
         except CallError as error:
@@ -192,6 +205,7 @@
             # The target had closed the pooled connection, and no byte was sent.
             self.close()
             self._connection = self._pool.open(self._entry.address, self._connect_timeout_s)
+            self._is_connection_reused = False
             self._connection.send(data)
 
     def _send_chunked_body(self, body: bytes, rest: Iterator[bytes]) -> None:
--- /dev/null
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -0,0 +1,146 @@
+"""Calls to targets that send responses twice, late or without end, over loopback sockets."""
+
+import unittest
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from time import monotonic
+
+from gevent import sleep, socket
+from gevent.server import StreamServer
+
+from damasktide.gateway.call import TargetCall
+from damasktide.gateway.dialect import RequestMetadata, ResponseMetadata
+from damasktide.http1.errors import CallError, CallFailure
+from damasktide.http1.messages import HeaderFields, RequestHead, ResponseHead, first_field
+from damasktide.http1.pool import ConnectionPool
+from damasktide.targets.target import TargetEntry, TargetState
+
+TIMEOUT_S = 5.0
+
+
+class PlainDialect:
+    """A dialect with the fields ``Id`` and ``Not-Run`` only."""
+
+    def request_metadata(self, head: RequestHead) -> RequestMetadata:
+        return RequestMetadata(head.field(b"id"), None, None, "")
+
+    def call_fields(self, head: RequestHead, target_id: str, remaining_s: float) -> HeaderFields:
+        return head.headers
+
+    def response_metadata(self, head: ResponseHead) -> ResponseMetadata:
+        is_not_run = head.field(b"not-run") is not None
+        return ResponseMetadata(head.field(b"id"), True, is_not_run, False, False)
+
+    def refusal_fields(
+        self, request_id: bytes | None, retry_after_s: float | None
+    ) -> HeaderFields:
+        return ()
+
+
+def response(request_id: bytes | None, body: bytes, status: int = 200) -> bytes:
+    id_field = b"Id: %s\r\n" % request_id if request_id is not None else b""
+    extra = b"Not-Run: 1\r\n" if status == 503 else b""
+    return b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        id_field,
+        extra,
+        len(body),
+        body,
+    )
+
+
+Respond = Callable[[bytes], Iterator[bytes]]
+
+
+@contextmanager
+def target(respond: Respond) -> Iterator[tuple[str, int]]:
+    """Run a target that answers each request with the parts that ``respond`` yields for its id."""
+
+    def handle(sock: socket.socket, address: object) -> None:
+        while data := sock.recv(65_536):
+            headers = tuple(
+                tuple(line.split(b": ", 1)) for line in data.split(b"\r\n")[1:] if b": " in line
+            )
+            for part in respond(first_field(headers, b"id") or b""):
+                sock.sendall(part)
+                sleep(0.01)
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    try:
+        yield ("127.0.0.1", server.server_port)
+    finally:
+        server.stop(timeout=0)
+
+
+class TestLateResponses(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = ConnectionPool()
+        self.addCleanup(self.pool.close_all)
+
+    def call(self, address: tuple[str, int], request_id: bytes) -> TargetCall:
+        head = RequestHead(b"POST", b"/", ((b"Id", request_id),))
+        entry = TargetEntry("t", 1, "s", "a1", address, 1, TargetState.READY)
+        return TargetCall(self.pool, PlainDialect(), entry, head, request_id, TIMEOUT_S)
+
+    def exchange(self, address: tuple[str, int], request_id: bytes) -> tuple[int, bytes]:
+        call = self.call(address, request_id)
+        call.send(monotonic() + TIMEOUT_S, b"")
+        found = call.read_response(monotonic() + TIMEOUT_S)
+        call.finish()
+        return found.head.status, found.body
+
+    def test_second_copy_of_an_earlier_response_reaches_no_other_request(self) -> None:
+        """The copy arrives after the connection was taken for the next request."""
+
+        def respond(request_id: bytes) -> Iterator[bytes]:
+            if request_id == b"second":
+                yield response(b"first", b"copy of the first")
+            yield response(request_id, b"own of " + request_id)
+
+        with target(respond) as address:
+            self.assertEqual(self.exchange(address, b"first"), (200, b"own of first"))
+            self.assertEqual(self.exchange(address, b"second"), (200, b"own of second"))
+
+    def test_interrupted_wait_goes_on_after_a_late_copy(self) -> None:
+        """A hedge interrupts the wait while the late copy is being skipped."""
+
+        def respond(request_id: bytes) -> Iterator[bytes]:
+            copy = response(b"other", b"x" * 1000)
+            yield copy[:200]
+            sleep(0.2)
+            yield copy[200:]
+            yield response(request_id, b"own")
+
+        with target(respond) as address:
+            call = self.call(address, b"second")
+            call.send(monotonic() + TIMEOUT_S, b"")
+            with self.assertRaises(CallError) as raised:
+                call.wait_for_head(monotonic() + 0.1)
+            self.assertIs(raised.exception.failure, CallFailure.TIMED_OUT)
+            self.assertEqual(call.read_response(monotonic() + TIMEOUT_S).body, b"own")
+            call.close()
+
+    def test_late_refusal_without_an_id_is_not_taken_for_this_request(self) -> None:
+        """Guards against a booking that runs while its caller is told that it has not."""
+
+        def respond(request_id: bytes) -> Iterator[bytes]:
+            if request_id == b"second":
+                yield response(None, b"", status=503)
+            yield response(request_id, b"own of " + request_id)
+
+        with target(respond) as address:
+            self.exchange(address, b"first")
+            call = self.call(address, b"second")
+            call.send(monotonic() + TIMEOUT_S, b"")
+            with self.assertRaises(CallError) as raised:
+                call.read_response(monotonic() + TIMEOUT_S)
+            self.assertFalse(raised.exception.failure.excludes_execution)
+            call.close()
+
+    def test_refusal_without_an_id_on_a_new_connection_counts(self) -> None:
+        def respond(request_id: bytes) -> Iterator[bytes]:
+            yield response(None, b"", status=503)
+
+        with target(respond) as address:
+            self.assertEqual(self.exchange(address, b"first")[0], 503)
