--- a/packages/damasktide/src/damasktide/demand/codec.py
+++ b/packages/damasktide/src/damasktide/demand/codec.py
@@ -10,8 +10,8 @@
 _LOAD = Struct("<IHf")
 # Incarnation hash, duration ratio, weight.
 _SPEED = Struct("<Iff")
-# Limit on the records of each kind; the heaviest loads are kept.
-MAX_RECORDS = 4096
+# Limit on the records of each kind; the heaviest loads are kept. A report then has at most 22 KB.
+MAX_RECORDS = 1024
 MAX_LOAD = 1e6
 
 
