--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -116,6 +116,8 @@
         self._refenced_at = float("-inf")
         self._demand = DemandReport()
         self._demand_at = float("-inf")
+        # Load of each bucket of keys, by service.
+        self._load_by_service: dict[str, Mapping[int, float]] = {}
         self._rebalanced_at_by_service: dict[str, float] = {}
 
     @property
@@ -151,6 +153,7 @@
         """Replace the demand on keys, as summed over all instances."""
         self._demand = demand
         self._demand_at = now
+        self._load_by_service = {service: demand.loads_of(service) for service in self._services}
 
     def record_confirmation(self, requested_at: float) -> None:
         """Record that the store, queried at ``requested_at``, confirmed the list of targets."""
@@ -414,7 +417,7 @@
     def _load_by_bucket(self, now: float, service: str) -> Mapping[int, float]:
         if now > self._demand_at + MAX_DEMAND_AGE_S:
             return {}
-        return self._demand.loads_of(service)
+        return self._load_by_service.get(service, {})
 
     def _rebalanced(
         self,
