Do not take a planned stop's own close for a disconnect of the caller

In a planned stop idle connections are closed for reading. A request that had already arrived was still read and forwarded; then the end of the input counted as a disconnect of its caller, and the request was cut off. Serving the backlog of the listener made the crossing likelier. Ruled out: the wait before the stop, 2.6 s, which had passed.

Change: a connection that was closed for reading is not watched for a disconnect.

Result: the test of the crossing fails without the change and passes with it.

--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -103,6 +103,7 @@
         self._remaining_body_bytes: int | None = None
         self._on_disconnect: Callable[[], None] | None = None
         self._read_watcher = get_hub().loop.io(sock.fileno(), 1)
+        self._is_closed_for_reading = False
         self.is_disconnected = False
         self.is_idle = True
         self.has_started_response = False
@@ -173,8 +174,13 @@
         self.send(encode_response(status, reason, headers, f"{detail}\n".encode()))
 
     def watch_for_disconnect(self, on_disconnect: Callable[[], None]) -> None:
-        """Call ``on_disconnect`` in the hub's greenlet once the caller closes the connection."""
+        """Call ``on_disconnect`` in the hub's greenlet once the caller closes the connection.
+
+        After :meth:`close_if_idle` a disconnect cannot be noticed, because the input has ended.
+        """
         self._on_disconnect = on_disconnect
+        if self._is_closed_for_reading:
+            return
         if self._events.is_complete and not self._buffer:
             self._read_watcher.start(self._check_for_disconnect)
 
@@ -189,8 +195,12 @@
         self._socket.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection for reading if it waits for a request, which ends the wait."""
+        """Close the connection for reading if it waits for a request, which ends the wait.
+
+        A request that has already arrived is still read.
+        """
         if self.is_idle:
+            self._is_closed_for_reading = True
             try:
                 self._socket.shutdown(socket.SHUT_RD)
             except OSError:
--- a/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from gevent import socket
+from gevent import sleep, socket
 from gevent.event import Event
 
 from damasktide.http1.caller_connection import CallerConnection, CallerLimits
@@ -33,6 +33,30 @@
         return raised.exception.status
 
 
+class TestPlannedStop(CallerConnectionTest):
+    def test_request_that_crosses_the_stop_is_not_taken_for_a_disconnect(self) -> None:
+        """Guards against a request that is read, forwarded, and then cut off.
+
+        Seen on hlw-match, trouble-2 with seed 70173284294: the connection was closed for reading
+        while it was idle, and the end of its input counted as a disconnect of the caller.
+        """
+        disconnects: list[bool] = []
+        self.caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.connection.close_if_idle()
+        head = self.connection.read_request()
+        assert head is not None
+        self.connection.watch_for_disconnect(lambda: disconnects.append(True))
+        sleep(0.05)
+        self.assertEqual((disconnects, self.connection.is_disconnected), ([], False))
+        self.connection.send_plain(200, b"OK", "served")
+        self.assertIn(b"200 OK", self.caller.recv(4096))
+        self.connection.stop_watching()
+
+    def test_idle_connection_ends(self) -> None:
+        self.connection.close_if_idle()
+        self.assertIsNone(self.connection.read_request())
+
+
 class TestRequests(CallerConnectionTest):
     def test_target_is_not_decoded(self) -> None:
         head, _ = self.request(b"GET /a%2Fb//c?d=%20&e HTTP/1.1\r\nHost: h\r\n\r\n")
