Write a map only while no write of the leader's row is in flight

Cause: the pause after failed map writes (0.4 s, in "Move keys by load") put every retry into the same tick as the leader's write of its own row, which breaks the condition of the map write. Before, each first try failed in the same way and was repeated at once. Ruled out: the moves by load themselves, the first of which came at 9.1 s.

Change: map writes wait for a write of the leader's row; a rejected one is repeated at once, only one without a response after the pause.

Result: test_map_writes fails without the change.

--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -49,7 +49,7 @@
 BARRIER_RETRY_S = 2.35
 # A grant that was not sent within this time is discarded, and a new decision is made.
 GRANT_SEND_TIMEOUT_S = 0.3
-# Pause after a map write that was rejected or got no response. A store that refuses calls responds
+# Pause after a map write that got no response or was refused. A store that refuses calls responds
 # within milliseconds, and each call is billed.
 MAP_WRITE_RETRY_S = 0.4
 # Shortest time between two rounds of moves by load, so that the keys of one round are served again
@@ -195,9 +195,7 @@
             key_map = self._map_by_service.get(service, KeyMap(service))
             yield from self._grants(now, key_map)
             yield from self._transfers(now, key_map)
-            if service not in self._services_being_written and now >= (
-                self._map_write_due_at_by_service.get(service, now)
-            ):
+            if self._may_write_map(now, service):
                 yield from self._map_writes(now, key_map)
 
     def resign(self, now: float) -> None:
@@ -270,7 +268,7 @@
         self._services_being_written.discard(key_map.service)
         if written.result is WriteResult.WRITTEN:
             self.observe_map(replace(key_map, version=written.version))
-        else:
+        elif written.result is WriteResult.UNKNOWN:
             self._map_write_due_at_by_service[key_map.service] = now + MAP_WRITE_RETRY_S
 
     def handle_leader_written(self, now: float, written: LeaderWritten) -> None:
@@ -294,6 +292,17 @@
         if was_leader and not self._leadership.is_leader:
             logger.bind(leader=record.instance, version=record.version).info("no longer leader")
 
+    def _may_write_map(self, now: float, service: str) -> bool:
+        """Return whether a write of the service's map may be sent.
+
+        It is made on condition of the leader's row, which a write in flight is about to change.
+        """
+        return (
+            service not in self._services_being_written
+            and not self._leadership.is_writing
+            and now >= self._map_write_due_at_by_service.get(service, now)
+        )
+
     def _refence_transfers(self) -> None:
         """Restart the transfers of an earlier leader, whose barriers may still be in flight."""
         took_over_at = self._leadership.took_over_at()
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -162,6 +162,11 @@
             return now >= self._observed_at + self._jitter_s
         return now >= self._observed_at + self._takeover_after_s + self._jitter_s
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a write of the row is in flight."""
+        return self._is_writing
+
     def record_write_started(self) -> None:
         """Record that a write is in flight."""
         self._is_writing = True
