Let a listener be stopped twice

Cause: a graceful stop closes the listener when it begins to refuse, and again at its end; since connections in the backlog are served, the second time raised AttributeError and the process ended with code 1.

Change: a listener that is closed, or was not started, has nothing to stop.

--- a/packages/damasktide/src/damasktide/http1/listener.py
+++ b/packages/damasktide/src/damasktide/http1/listener.py
@@ -57,11 +57,13 @@
             connection.close()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket; open connections stay open.
+        """Close the listening socket, if it is open; open connections stay open.
 
         Connections that the kernel has already accepted are served, because closing the socket
         would reset them.
         """
+        if self._server.closed:
+            return
         self._server.stop_accepting()
         while (accepted := self._server.do_read()) is not None:
             self._server.do_handle(*accepted)
--- a/packages/damasktide/src/damasktide/http1/tests/test_listener.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_listener.py
@@ -37,3 +37,13 @@
             caller.close()
         with self.assertRaises(OSError):
             socket.create_connection(listener.address, timeout=1.0)
+
+    def test_listener_may_be_stopped_twice(self) -> None:
+        """A graceful stop closes the listener when it begins to refuse, and again at its end."""
+        listener = Listener(("127.0.0.1", 0), CallerLimits, respond)
+        listener.start()
+        listener.stop_accepting()
+        listener.stop_accepting()
+
+    def test_listener_that_was_not_started_can_be_stopped(self) -> None:
+        Listener(("127.0.0.1", 0), CallerLimits, respond).stop_accepting()
