Split the moves by load from the assignment controller

KeyBalancer knows the demand and the speeds and changes maps; the controller decides on commands and writes.

--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -1,15 +1,15 @@
 """State machine, free of I/O, that decides on grants, releases and changes of the maps."""
 
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
 
 from loguru import logger
 
 from damasktide.demand.messages import DemandReport
+from damasktide.keyspace.balancer import KeyBalancer
 from damasktide.keyspace.grant_expiry import GrantExpiryTracker
 from damasktide.keyspace.key_map import Incarnation, KeyMap, KeyRange, merge_adjacent
 from damasktide.keyspace.leadership import LeaderRecord, Leadership
-from damasktide.keyspace.load_balancing import rebalance
 from damasktide.keyspace.messages import (
     Command,
     CommandResult,
@@ -25,15 +25,8 @@
     WriteResult,
 )
 from damasktide.keyspace.path_delay import MAX_ARRIVAL_DELAY_S, PathDelay
-from damasktide.keyspace.planner import (
-    FENCE_STEP,
-    MIN_FAIR_SHARE_RATIO,
-    MIN_FAIR_SHARE_RATIO_BY_LOAD,
-    Holder,
-    plan,
-)
+from damasktide.keyspace.planner import FENCE_STEP, Holder
 from damasktide.keyspace.reachability import ReachabilityTracker
-from damasktide.loads.messages import incarnation_hash
 from damasktide.targets.target import TargetEntry, TargetView
 
 # The keys of a lost target can move only after its hold has expired, and must be served again
@@ -52,16 +45,6 @@
 # Pause after a map write that got no response or was refused. A store that refuses calls responds
 # within milliseconds, and each call is billed.
 MAP_WRITE_RETRY_S = 0.4
-# Shortest time between two rounds of moves by load, so that the keys of one round are served again
-# before the next.
-REBALANCE_INTERVAL_S = 1.0
-# A report of the demand is used for this long.
-MAX_DEMAND_AGE_S = 3.0
-# Bounds of a target's speed, and the number of calls at normal speed that are assumed in addition
-# to the observed ones.
-MIN_SPEED = 0.4
-MAX_SPEED = 2.0
-PRIOR_CALLS = 5.0
 
 # Service, first key, last key and fencing token.
 _RangeKey = tuple[str, int, int, int]
@@ -114,11 +97,7 @@
         self._table_requested_at = float("-inf")
         self._next_read_at = float("-inf")
         self._refenced_at = float("-inf")
-        self._demand = DemandReport()
-        self._demand_at = float("-inf")
-        # Load of each bucket of keys, by service.
-        self._load_by_service: dict[str, Mapping[int, float]] = {}
-        self._rebalanced_at_by_service: dict[str, float] = {}
+        self._balancer = KeyBalancer()
 
     @property
     def map_by_service(self) -> Mapping[str, KeyMap]:
@@ -151,9 +130,7 @@
 
     def set_demand(self, now: float, demand: DemandReport) -> None:
         """Replace the demand on keys, as summed over all instances."""
-        self._demand = demand
-        self._demand_at = now
-        self._load_by_service = {service: demand.loads_of(service) for service in self._services}
+        self._balancer.set_demand(now, demand)
 
     def record_confirmation(self, requested_at: float) -> None:
         """Record that the store, queried at ``requested_at``, confirmed the list of targets."""
@@ -409,48 +386,13 @@
         return True
 
     def _map_writes(self, now: float, key_map: KeyMap) -> Iterator[WriteMap]:
-        holders = self._holders(now, key_map)
-        load_by_bucket = self._load_by_bucket(now, key_map.service)
-        min_fair_share_ratio = (
-            MIN_FAIR_SHARE_RATIO_BY_LOAD if load_by_bucket else MIN_FAIR_SHARE_RATIO
-        )
         settled = self._with_settled_transfers(now, key_map)
-        changed = plan(settled, holders, min_fair_share_ratio)
-        if changed.ranges == settled.ranges and load_by_bucket:
-            changed = self._rebalanced(now, settled, holders, load_by_bucket)
+        changed = self._balancer.assign(now, settled, self._holders(now, key_map))
         if changed.ranges == key_map.ranges:
             return
         self._services_being_written.add(key_map.service)
         yield WriteMap(changed, self._leadership.record.version)
 
-    def _load_by_bucket(self, now: float, service: str) -> Mapping[int, float]:
-        if now > self._demand_at + MAX_DEMAND_AGE_S:
-            return {}
-        return self._load_by_service.get(service, {})
-
-    def _rebalanced(
-        self,
-        now: float,
-        key_map: KeyMap,
-        holders: Sequence[Holder],
-        load_by_bucket: Mapping[int, float],
-    ) -> KeyMap:
-        """Return the map after a round of moves by load, if one is due."""
-        service = key_map.service
-        if now < self._rebalanced_at_by_service.get(service, now) + REBALANCE_INTERVAL_S:
-            self._rebalanced_at_by_service.setdefault(service, now)
-            return key_map
-        self._rebalanced_at_by_service[service] = now
-        changed = rebalance(key_map, holders, load_by_bucket)
-        if changed is not key_map:
-            logger.bind(
-                service=service,
-                load=round(sum(load_by_bucket.values()), 1),
-                ranges=len(changed.ranges),
-                moves=sum(not key_range.is_settled for key_range in changed.ranges),
-            ).info("keys move by load")
-        return changed
-
     def _with_settled_transfers(self, now: float, key_map: KeyMap) -> KeyMap:
         """Return the map with expired previous holders removed and fenced tokens replaced."""
         ranges = []
@@ -498,17 +440,10 @@
             if entry.incarnation in named or not self._is_cold(now, entry.incarnation)
         ]
         return [
-            Holder(entry.incarnation, entry.slots, self._speed(entry.incarnation))
+            Holder(entry.incarnation, entry.slots, self._balancer.speed(entry.incarnation))
             for entry in ready or found
         ]
 
-    def _speed(self, incarnation: Incarnation) -> float:
-        speed = self._demand.speed_by_incarnation.get(incarnation_hash(incarnation))
-        if speed is None:
-            return 1.0
-        ratio = (speed.duration_ratio * speed.weight + PRIOR_CALLS) / (speed.weight + PRIOR_CALLS)
-        return min(MAX_SPEED, max(MIN_SPEED, 1.0 / ratio))
-
     def _is_cold(self, now: float, incarnation: Incarnation) -> bool:
         return now < self._cold_until_by_incarnation.get(incarnation, float("-inf"))
 
