Close a connection whose parser stands inside a message

Cause: a target sent the first bytes of a second response behind a complete one, in the same read. The parser consumed them without an event, the socket held no more input, and ServerConnection.is_reusable let the connection go back to the pool; the next status line was read as the rest of the first.

Ruled out: a response matched to the wrong request by its id (id, signature and body were the caller's own), two calls on one connection at a time.

Change: the connection records whether its parser stands inside a message and is not reusable then, with a log line; bytes that follow a complete message and cannot be parsed are logged too instead of being dropped silently. The client of the store and the sender of commands ask the same method.

--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -7,6 +7,7 @@
 
 from gevent import socket
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
+from loguru import logger
 
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import ResponseHead, response_head
@@ -28,10 +29,21 @@
 
 
 class _ResponseEvents:
-    """Parser callbacks that queue the head of each message, the parts of its body, then None."""
+    """Parser callbacks that queue the head of each message, the parts of its body, then None.
+
+    Attributes
+    ----------
+    queue
+        Events that have not been consumed.
+    is_in_message
+        Whether the parser has read a part of a message but not its end.
+    method
+        Method of the request, which decides whether the response has a body.
+    """
 
     def __init__(self) -> None:
         self.queue: deque[ResponseHead | bytes | None] = deque()
+        self.is_in_message = False
         self.method = b"GET"
         self._parser: HttpResponseParser | None = None
         self._reason = b""
@@ -41,6 +53,7 @@
         self._parser = parser
 
     def on_message_begin(self) -> None:
+        self.is_in_message = True
         self._reason = b""
         self._headers = []
 
@@ -61,6 +74,7 @@
         self.queue.append(data)
 
     def on_message_complete(self) -> None:
+        self.is_in_message = False
         self.queue.append(None)
 
 
@@ -103,6 +117,10 @@
         """Whether the connection is open."""
         return self._socket is not None
 
+    @property
+    def _address_text(self) -> str:
+        return f"{self.address[0]}:{self.address[1]}"
+
     def connect(self, timeout_s: float) -> None:
         """Open the connection.
 
@@ -237,9 +255,13 @@
     def is_reusable(self) -> bool:
         """Return whether another call can be sent.
 
-        The last response has to be complete, with no bytes after it.
+        The last response has to be complete, with no bytes after it. Even an incomplete status
+        line after it would become the start of the next response.
         """
-        if self.is_broken or not self._is_response_complete or self._events.queue:
+        if self.is_broken or not self._is_response_complete:
+            return False
+        if self._events.queue or self._events.is_in_message:
+            logger.bind(address=self._address_text).info("bytes after a complete response")
             return False
         return self._head is None or self._head.keeps_alive
 
@@ -318,6 +340,8 @@
             self.is_broken = True
             if not self._events.queue:
                 raise CallError(CallFailure.NOT_HTTP, str(error)) from error
+            # The messages before the malformed bytes are complete and remain usable.
+            logger.bind(address=self._address_text).info("malformed bytes of a server: {}", error)
         self._idle_input_bytes = 0 if self._events.queue else self._idle_input_bytes + len(data)
         if self._idle_input_bytes > MAX_IDLE_INPUT_BYTES:
             raise self._too_large(f"{self._idle_input_bytes} bytes without a head or a body")
--- a/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
@@ -103,6 +103,14 @@
             self.assertEqual(call(connection), (200, b"ok"))
             self.assertFalse(connection.is_reusable())
 
+    def test_connection_with_a_part_of_a_second_response_is_not_reusable(self) -> None:
+        """Guards against a status line of which the start belongs to an earlier response."""
+        for length in range(1, len(OK) + 1):
+            with self.subTest(part=OK[:length]), serving_response(OK + OK[:length]) as address:
+                connection = open_connection(address)
+                self.assertEqual(call(connection), (200, b"ok"))
+                self.assertFalse(connection.is_reusable())
+
     def test_informational_response_is_skipped(self) -> None:
         with serving_response(b"HTTP/1.1 100 Continue\r\n\r\n" + OK) as address:
             self.assertEqual(call(open_connection(address)), (200, b"ok"))
