Judge the freshness of a relayed table by its own source

Cause: an instance judged how fresh a relayed table is by its newest reply about any table. The store refused front-delta-b-1, which read the list of targets from its fallback, while the fallback declined each request for changes of the operators' table, because it had just started.

Ruled out: an instance that applies rows late (the rows of versions 6 to 18 arrive together at 17.1 s), an outage of the store (the neighbour follows each version).

Change: TableSources records the source of each table and the latest reply of each source. A table is confirmed by its own reply or by a later one of the same source; a refusal, a failure or a change of the source ends that. While the store is unavailable, an instance that is too far behind for the changes of its source reads the complete table there. Freshness is checked before the known changes, so that nobody gives up its place in the changes in an outage.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -44,6 +44,7 @@
 from damasktide.relay.exchange import RelayExchange, RelayGroup
 from damasktide.relay.relayed_store import RelayedStore
 from damasktide.relay.server import ChangesServer
+from damasktide.relay.table_sources import TableSources
 from damasktide.relay.tree import RelayPeer, relay_order, upstream
 from damasktide.routing.configuration import RoutingConfiguration
 from damasktide.routing.task import RecordDecoder, RoutingTask
@@ -133,13 +134,14 @@
         )
         on_failure = self._lifecycle.tell
         self._snapshots: dict[str, Published[TableSnapshot | None]] = {}
+        self._table_sources = TableSources()
         self._relay_exchange: RelayExchange | None = None
         self._load_exchange: LoadExchange | None = None
         self._demand_exchange: DemandExchange | None = None
         self._incarnation_by_hash: dict[int, tuple[str, int]] = {}
         self._keyed_services: frozenset[str] = frozenset()
         if listen is not None:
-            changes_server = ChangesServer(self._snapshots, LeaseClock())
+            changes_server = ChangesServer(self._snapshots, self._table_sources, LeaseClock())
             self._relay_exchange = RelayExchange(
                 settings.instance, boot_id, listen, changes_server, on_failure
             )
@@ -238,7 +240,9 @@
     def _open_store(self, adapter: PlatformAdapter, reads_from_peer: bool) -> RowStore:
         if self._relay_exchange is None:
             return adapter.open_store()
-        return RelayedStore(adapter.open_store(), self._relay_exchange, reads_from_peer)
+        return RelayedStore(
+            adapter.open_store(), self._relay_exchange, self._table_sources, reads_from_peer
+        )
 
     def _gateway_context(
         self, adapter: PlatformAdapter, registry: CollectorRegistry
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -4,6 +4,9 @@
 
 from damasktide.rows.store import Row
 
+# Reason of a refusal to a requester that is further behind than the known changes.
+CHANGES_FORGOTTEN = "changes are no longer known"
+
 
 @dataclass(frozen=True, slots=True)
 class ChangesRequest:
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -8,16 +8,24 @@
 from loguru import logger
 
 from damasktide.relay.exchange import RelayExchange
-from damasktide.relay.messages import ChangesRefused, ChangesRequest, RelayedChanges
+from damasktide.relay.messages import (
+    CHANGES_FORGOTTEN,
+    ChangesRefused,
+    ChangesRequest,
+    RelayedChanges,
+)
 from damasktide.relay.sources import RelaySource
+from damasktide.relay.table_sources import STORE, TableSources
 from damasktide.rows.store import (
     Changes,
     ExpectedRow,
+    HistoryLostError,
     RowStore,
     RowWrite,
     StoreUnavailableError,
     TableState,
 )
+from damasktide.runtime.clock import LeaseClock
 
 T = TypeVar("T")
 
@@ -51,7 +59,7 @@
     """Requests changes from other instances, and from the store if they have no fresh data.
 
     Writes always go to the store. Full reads also do, except the first read of a table in a large
-    failure domain or far from the store.
+    failure domain or far from the store, and reads while the store is unavailable.
 
     Parameters
     ----------
@@ -59,39 +67,61 @@
         Client of the store.
     exchange
         Links to other instances.
+    table_sources
+        Receives where each table is followed.
     reads_from_peer
         Whether the first read of a table may come from another instance.
     """
 
     def __init__(
-        self, store: RowStore, exchange: RelayExchange, reads_from_peer: bool = False
+        self,
+        store: RowStore,
+        exchange: RelayExchange,
+        table_sources: TableSources,
+        reads_from_peer: bool = False,
     ) -> None:
         self._store = store
         self._exchange = exchange
+        self._table_sources = table_sources
         self._reads_from_peer = reads_from_peer
+        self._clock = LeaseClock()
         self._is_interrupted = False
+        # Whether an instance asked during the current call did not know changes that old.
+        self._are_changes_forgotten = False
 
     def read_table(self, table: str) -> TableState:
         """See :meth:`damasktide.rows.store.RowStore.read_table`."""
         reads_from_peer, self._reads_from_peer = self._reads_from_peer, False
         if reads_from_peer and (state := self._table_from_peer(table)) is not None:
             return state
-        return self._call_store(lambda: self._store.read_table(table))
+        try:
+            return self._call_store(table, lambda: self._store.read_table(table))
+        except StoreUnavailableError:
+            state = self._table_from_reachable_peer(table)
+            if state is None:
+                raise
+            return state
 
     def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
         """See :meth:`damasktide.rows.store.RowStore.wait_for_changes`."""
+        self._are_changes_forgotten = False
         changes = self._changes_from_peers(table, after, wait_s)
         if changes is not None:
             return changes
         if self._exchange.sources.source(monotonic()) is not None:
             wait_s = min(wait_s, MAX_DEFERRED_WAIT_S)
         try:
-            return self._call_store(lambda: self._store.wait_for_changes(table, after, wait_s))
-        except StoreUnavailableError:
+            return self._call_store(
+                table, lambda: self._store.wait_for_changes(table, after, wait_s)
+            )
+        except StoreUnavailableError as error:
             changes = self._changes_from_fallback(table, after)
-            if changes is None:
-                raise
-            return changes
+            if changes is not None:
+                return changes
+            if self._are_changes_forgotten:
+                # An instance that has just started has the table, but not its earlier changes.
+                raise HistoryLostError(table) from error
+            raise
 
     def interrupt(self) -> None:
         """See :meth:`damasktide.rows.store.RowStore.interrupt`."""
@@ -114,19 +144,31 @@
             gevent.sleep(INSTANCES_POLL_INTERVAL_S)
         until = monotonic() + FULL_READ_TIMEOUT_S
         while sources.reads_from_peers and (source := sources.source(monotonic())) is not None:
-            reply = self._request_from(
-                source, ChangesRequest(table, 0, 0.0, source.max_age_s, is_full_read=True)
-            )
-            if reply is not None:
-                logger.bind(table=table, peer=source.peer.name, version=reply.version).info(
-                    "read a table from another instance"
-                )
-                return TableState(reply.rows, reply.version, reply.age_s)
-            if monotonic() >= until:
-                return None
+            state = self._table_from(source, table)
+            if state is not None or monotonic() >= until:
+                return state
             gevent.sleep(SOURCE_RETRY_INTERVAL_S)
         return None
 
+    def _table_from_reachable_peer(self, table: str) -> TableState | None:
+        """Read the table from the first instance that has it while the store is unavailable."""
+        sources = self._exchange.sources
+        for source in (sources.source(monotonic()), sources.fallback_source(monotonic())):
+            if source is not None and (state := self._table_from(source, table)) is not None:
+                return state
+        return None
+
+    def _table_from(self, source: RelaySource, table: str) -> TableState | None:
+        reply = self._request_from(
+            source, ChangesRequest(table, 0, 0.0, source.max_age_s, is_full_read=True)
+        )
+        if reply is None:
+            return None
+        logger.bind(table=table, peer=source.peer.name, version=reply.version).info(
+            "read a table from another instance"
+        )
+        return TableState(reply.rows, reply.version, reply.age_s)
+
     def _changes_from_peers(self, table: str, after: int, wait_s: float) -> Changes | None:
         """Request changes from other instances; poll sources that have nothing fresh."""
         sources = self._exchange.sources
@@ -148,20 +190,28 @@
         source = self._exchange.sources.fallback_source(monotonic())
         return self._changes_from(source, table, after, 0.0) if source is not None else None
 
-    def _call_store(self, call: Callable[[], T]) -> T:
-        """Call the store and record whether it responded."""
+    def _call_store(self, table: str, call: Callable[[], T]) -> T:
+        """Call the store about ``table`` and record whether it responded."""
         sources = self._exchange.sources
         if not sources.may_call_store(monotonic()):
+            self._table_sources.record_failure(table)
             raise StoreUnavailableError(
                 "the store failed recently; not calling it yet", is_certain=True
             )
         self._is_interrupted = False
+        requested_at = self._clock.now()
+        self._table_sources.record_request(table, STORE)
         try:
             result = call()
         except StoreUnavailableError:
+            self._table_sources.record_failure(table)
             if not self._is_interrupted:
                 sources.record_store_failure(monotonic())
             raise
+        except HistoryLostError:
+            self._table_sources.record_failure(table)
+            raise
+        self._table_sources.record_reply(table, STORE, requested_at)
         sources.record_store_response()
         return result
 
@@ -173,8 +223,15 @@
         return Changes(reply.rows, reply.version, reply.age_s) if reply is not None else None
 
     def _request_from(self, source: RelaySource, request: ChangesRequest) -> RelayedChanges | None:
+        requested_at = self._clock.now()
+        self._table_sources.record_request(request.table, source.peer.name)
         reply = self._exchange.request_changes(source, request)
         if isinstance(reply, ChangesRefused):
+            self._table_sources.record_failure(request.table)
+            self._are_changes_forgotten |= reply.reason == CHANGES_FORGOTTEN
             return None
+        self._table_sources.record_reply(
+            request.table, source.peer.name, requested_at - reply.age_s
+        )
         self._exchange.sources.record_peer_reply(source.peer.name)
         return reply
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -1,6 +1,6 @@
 """Serves other instances from the table snapshots of this one."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from loguru import logger
 
@@ -9,8 +9,15 @@
     decode_changes_request,
     encode_changes_reply,
 )
-from damasktide.relay.messages import ChangesRefused, ChangesReply, ChangesRequest, RelayedChanges
-from damasktide.rows.snapshot import TableSnapshot, latest_requested_at
+from damasktide.relay.messages import (
+    CHANGES_FORGOTTEN,
+    ChangesRefused,
+    ChangesReply,
+    ChangesRequest,
+    RelayedChanges,
+)
+from damasktide.relay.table_sources import TableSources
+from damasktide.rows.snapshot import TableSnapshot
 from damasktide.runtime.clock import Clock
 from damasktide.runtime.published import Published
 
@@ -31,12 +38,15 @@
     ----------
     snapshots
         Snapshot of each table.
+    table_sources
+        Where the tables are followed, which shows how fresh the snapshots are.
     clock
         Lease clock.
     """
 
-    def __init__(self, snapshots: Snapshots, clock: Clock) -> None:
+    def __init__(self, snapshots: Snapshots, table_sources: TableSources, clock: Clock) -> None:
         self._snapshots = snapshots
+        self._table_sources = table_sources
         self._clock = clock
 
     def serve(self, sender_id: str, body: bytes) -> bytes:
@@ -59,12 +69,14 @@
             snapshot = published.value
             if snapshot is None:
                 return ChangesRefused("not read yet")
-            if not request.is_full_read and request.after < snapshot.complete_since:
-                return ChangesRefused("changes are no longer known")
             now = self._clock.now()
-            fresh_until = latest_requested_at(self._all_snapshots()) + request.max_age_s
+            confirmed_at = self._table_sources.confirmed_at(request.table)
+            fresh_until = max(snapshot.requested_at, confirmed_at) + request.max_age_s
             if now > fresh_until:
                 return ChangesRefused("no fresh answer of the store")
+            # Checked after the freshness, so that the requester can read the complete table here.
+            if not request.is_full_read and request.after < snapshot.complete_since:
+                return ChangesRefused(CHANGES_FORGOTTEN)
             rows = snapshot.rows if request.is_full_read else snapshot.rows_after(request.after)
             if rows or now >= until or request.is_full_read:
                 # Relative to the arrival, because the requester counts from the time at which it
@@ -75,6 +87,3 @@
             published.wait_for_change(
                 snapshot, min(until, fresh_until + FRESHNESS_RECHECK_S) - now
             )
-
-    def _all_snapshots(self) -> Iterable[TableSnapshot | None]:
-        return (published.value for published in self._snapshots.values())
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -14,7 +14,13 @@
     encode_changes_reply,
     encode_changes_request,
 )
-from damasktide.relay.messages import ChangesRefused, ChangesReply, ChangesRequest, RelayedChanges
+from damasktide.relay.messages import (
+    CHANGES_FORGOTTEN,
+    ChangesRefused,
+    ChangesReply,
+    ChangesRequest,
+    RelayedChanges,
+)
 from damasktide.relay.relayed_store import MAX_DEFERRED_WAIT_S, RelayedStore
 from damasktide.relay.server import ChangesServer
 from damasktide.relay.sources import (
@@ -23,11 +29,13 @@
     RelaySource,
     RelaySourceSelector,
 )
+from damasktide.relay.table_sources import STORE, TableSources
 from damasktide.relay.tree import RelayPeer, Upstream, relay_order
 from damasktide.rows.snapshot import TableSnapshot, value_fingerprint
 from damasktide.rows.store import (
     Changes,
     ExpectedRow,
+    HistoryLostError,
     Row,
     RowWrite,
     StoreUnavailableError,
@@ -37,6 +45,7 @@
 from damasktide.runtime.published import Published
 
 TABLE = "op"
+BUSY_TABLE = "servers"
 ORDER = relay_order(RelayPeer(f"i{n}", ("10.0.0.1", n), 100.0) for n in range(6))
 # Time left for an instance without fresh data to call the store. A change must be known within
 # 2.5 s, relayed data has reached the maximum age when it is refused, and the response of the store
@@ -86,10 +95,14 @@
         self.sources.set_order(ORDER)
         self.reply = reply
         self.reply_by_peer: dict[str, ChangesReply] = {}
+        # Replies to requests for changes of one table, complete reads excluded.
+        self.reply_by_table: dict[str, ChangesReply] = {}
         self.requested_peers: list[str] = []
 
     def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         self.requested_peers.append(source.peer.name)
+        if not request.is_full_read and request.table in self.reply_by_table:
+            return self.reply_by_table[request.table]
         return self.reply_by_peer.get(source.peer.name, self.reply)
 
 
@@ -103,7 +116,8 @@
 
     def client(self, name: str, reply: ChangesReply) -> tuple[RelayedStore, FakeExchange]:
         exchange = FakeExchange(name, reply)
-        return RelayedStore(self.store, exchange), exchange  # type: ignore[arg-type]
+        client = RelayedStore(self.store, exchange, TableSources())  # type: ignore[arg-type]
+        return client, exchange
 
     def test_store_is_not_called_if_another_instance_has_changes(self) -> None:
         client, _ = self.client(LAST, changes())
@@ -161,6 +175,82 @@
             self.assertEqual(self.store.waits_s, [longest_s])
 
 
+class TestStoreRefusesOneMachine(unittest.TestCase):
+    """The store refuses the root, whose fallback has just started and knows no earlier changes.
+
+    The instances below the root acted on an old configuration for up to 7.5 s, because the root
+    got the list of targets from its fallback and relayed the unchanged configuration as fresh.
+    """
+
+    def setUp(self) -> None:
+        store = FakeStore()
+        store.is_down = True
+        self.table_sources = TableSources()
+        self.exchange = FakeExchange(ROOT, changes())
+        self.exchange.reply_by_table[TABLE] = ChangesRefused(CHANGES_FORGOTTEN)
+        self.client = RelayedStore(
+            store,
+            self.exchange,  # type: ignore[arg-type]
+            self.table_sources,
+        )
+        now = LeaseClock().now()
+        self.table_sources.record_reply(TABLE, STORE, now - 3.0)
+        self.table_sources.record_reply(BUSY_TABLE, STORE, now - 3.0)
+
+    def test_table_that_the_fallback_declines_is_not_relayed_as_fresh(self) -> None:
+        state = TableState((Row("config", b"old", 4),), 6)
+        snapshot = TableSnapshot.of(state, LeaseClock().now() - 3.0, value_fingerprint)
+        server = ChangesServer({TABLE: Published(snapshot)}, self.table_sources, LeaseClock())
+        with self.assertRaises(HistoryLostError):
+            self.client.wait_for_changes(TABLE, 6, 0.0)
+        self.client.wait_for_changes(BUSY_TABLE, 6, 0.0)
+        reply = server.reply_to(ChangesRequest(TABLE, 6, 0.0, MAX_AGE_S))
+        self.assertIsInstance(reply, ChangesRefused)
+
+    def test_table_is_read_from_the_fallback(self) -> None:
+        with self.assertRaises(HistoryLostError):
+            self.client.wait_for_changes(TABLE, 5, 0.0)
+        state = self.client.read_table(TABLE)
+        self.assertEqual((state.version, state.relayed_age_s), (9, 0.4))
+
+    def test_changes_are_not_given_up_if_no_instance_is_fresh(self) -> None:
+        """Guards against all instances reading complete tables after an outage."""
+        self.exchange.reply = ChangesRefused("no fresh answer of the store")
+        self.exchange.reply_by_table.clear()
+        for call in (
+            lambda: self.client.wait_for_changes(TABLE, 5, 0.0),
+            lambda: self.client.read_table(TABLE),
+        ):
+            with self.assertRaises(StoreUnavailableError):
+                call()
+
+
+class TestTableSources(unittest.TestCase):
+    def setUp(self) -> None:
+        self.sources = TableSources()
+        self.sources.record_reply(TABLE, STORE, 10.0)
+
+    def test_unknown_table_is_not_confirmed(self) -> None:
+        self.assertEqual(self.sources.confirmed_at(BUSY_TABLE), float("-inf"))
+
+    def test_replies_count_for_all_tables_of_the_source(self) -> None:
+        self.sources.record_reply(BUSY_TABLE, STORE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 12.0)
+
+    def test_request_to_another_source_ends_the_confirmation(self) -> None:
+        """Guards against counting a source that has not yet replied about the table."""
+        self.sources.record_reply(BUSY_TABLE, "peer", 12.0)
+        self.sources.record_request(TABLE, "peer")
+        self.assertEqual(self.sources.confirmed_at(TABLE), float("-inf"))
+        self.sources.record_reply(TABLE, "peer", 11.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 12.0)
+
+    def test_failure_ends_the_confirmation(self) -> None:
+        self.sources.record_failure(TABLE)
+        self.sources.record_reply(BUSY_TABLE, STORE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), float("-inf"))
+
+
 class TestStartInALargeDomain(unittest.TestCase):
     """First reads of tables after a restart or a power failure."""
 
@@ -169,7 +259,12 @@
 
     def client(self, name: str, reply: ChangesReply, reads_from_peer: bool = True) -> RelayedStore:
         self.exchange = FakeExchange(name, reply)
-        return RelayedStore(self.store, self.exchange, reads_from_peer)  # type: ignore[arg-type]
+        return RelayedStore(
+            self.store,
+            self.exchange,  # type: ignore[arg-type]
+            TableSources(),
+            reads_from_peer,
+        )
 
     def test_table_is_read_from_another_instance(self) -> None:
         """Guards against saturating the link between regions with copies of one table."""
@@ -220,7 +315,12 @@
         self.exchange.sources.set_order(
             ORDER, Upstream((self.NEAR, self.OTHER_NEAR), frozenset(), 1)
         )
-        return RelayedStore(self.store, self.exchange, reads_from_peer=True)  # type: ignore[arg-type]
+        return RelayedStore(
+            self.store,
+            self.exchange,  # type: ignore[arg-type]
+            TableSources(),
+            reads_from_peer=True,
+        )
 
     def test_root_asks_an_instance_near_the_store(self) -> None:
         client = self.client(changes())
@@ -249,7 +349,8 @@
         self.table: Published[TableSnapshot | None] = Published(
             TableSnapshot.of(state, 99.8, value_fingerprint)
         )
-        self.server = ChangesServer({TABLE: self.table}, self.clock)
+        self.table_sources = TableSources()
+        self.server = ChangesServer({TABLE: self.table}, self.table_sources, self.clock)
 
     def request(self, after: int, wait_s: float = 0.0, table: str = TABLE) -> ChangesReply:
         return self.server.reply_to(ChangesRequest(table, after, wait_s, MAX_AGE_S))
@@ -262,7 +363,7 @@
 
     def test_wait_at_the_source_does_not_add_to_the_age(self) -> None:
         """Guards against fresh data that is refused two levels further down as too old."""
-        server = ChangesServer({TABLE: self.table}, LeaseClock())
+        server = ChangesServer({TABLE: self.table}, TableSources(), LeaseClock())
         known = self.table.value
         assert known is not None
         arrived_at = LeaseClock().now()
@@ -276,9 +377,23 @@
         self.clock.advance(MAX_AGE_S)
         self.assertIsInstance(self.request(6), ChangesRefused)
 
+    def test_replies_of_the_same_source_confirm_a_quiet_table(self) -> None:
+        """Guards against a call to the store for each quiet table that no one changes."""
+        self.table_sources.record_reply(TABLE, STORE, 99.8)
+        self.clock.advance(3.0)
+        self.table_sources.record_reply(BUSY_TABLE, STORE, 102.9)
+        self.assertIsInstance(self.request(6), RelayedChanges)
+
+    def test_replies_of_another_source_do_not_confirm_a_table(self) -> None:
+        """Guards against relaying an old configuration because the list of targets is fresh."""
+        self.table_sources.record_reply(TABLE, STORE, 99.8)
+        self.clock.advance(3.0)
+        self.table_sources.record_reply(BUSY_TABLE, ORDER[1].name, 102.9)
+        self.assertIsInstance(self.request(6), ChangesRefused)
+
     def test_waiting_request_is_refused_when_the_snapshot_becomes_stale(self) -> None:
         """Guards against waiting at a stale source for changes of a rarely changing table."""
-        server = ChangesServer({TABLE: self.table}, LeaseClock())
+        server = ChangesServer({TABLE: self.table}, TableSources(), LeaseClock())
         known = self.table.value
         assert known is not None
         self.table.publish(replace(known, requested_at=LeaseClock().now()))
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -186,7 +186,7 @@
             message = self._call(requested_at)
         except HistoryLostError:
             logger.bind(table=self._table, version=self._version).info(
-                "store no longer has the requested changes; reading the complete table"
+                "the requested changes are no longer known; reading the complete table"
             )
             self._version = None
             return
--- a/packages/damasktide/src/damasktide/rows/snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/snapshot.py
@@ -1,6 +1,6 @@
 """Snapshots of tables, from which an instance relays changes to other instances."""
 
-from collections.abc import Callable, Hashable, Iterable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass, field, replace
 
 from damasktide.rows.store import Changes, Row, TableState
@@ -123,11 +123,3 @@
         ]
         changed += [(row.version, row) for row in self.drops if row.version > version]
         return tuple(row for _, row in sorted(changed, key=lambda change: change[0]))
-
-
-def latest_requested_at(snapshots: Iterable[TableSnapshot | None]) -> float:
-    """Return when the latest known response, about any table, was requested from the store."""
-    return max(
-        (snapshot.requested_at for snapshot in snapshots if snapshot is not None),
-        default=float("-inf"),
-    )
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -116,7 +116,7 @@
 
 
 class HistoryLostError(Exception):
-    """The store no longer has the requested changes; the complete table must be read again."""
+    """The requested changes are no longer known; the complete table must be read again."""
 
 
 class RowStore(Protocol):
