Send no two attempts of a request over one connection

Cause: the target of a key rejects a booking, and the next attempt goes to the same target, mostly on the same connection. A late second copy of the rejection arrives where the response to that attempt is expected, with the id that all attempts of the request share.

Ruled out: a response without an id, which counts on a new connection only; a copy for another request, which is skipped by its id.

Change: the attempts of a request share the set of connections that they used, and ConnectionPool.acquire returns none of these. They stay in the pool for other requests.

Result: before the change the new tests got 503 for a booking that ran, and two runs with three attempts; they pass.

--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -23,6 +23,7 @@
 from damasktide.gateway.refusals import Reason, Refusal, not_run_refusal
 from damasktide.gateway.request import GatewayRequest
 from damasktide.http1.errors import CallError, CallFailure
+from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
 from damasktide.targets.target import TargetEntry
 
@@ -40,7 +41,8 @@
 RESPONSE_GRACE_S = 0.1
 REFUSAL_RETRY_AFTER_S = 0.3
 
-OpenCall = Callable[[GatewayRequest, TargetEntry], TargetCall]
+# Receives the connections that carried earlier attempts, to which the call adds its own.
+OpenCall = Callable[[GatewayRequest, TargetEntry, set[ServerConnection]], TargetCall]
 # Receives the incarnation of a target and the metadata of its response.
 OnResponse = Callable[[tuple[str, int], ResponseMetadata], None]
 
@@ -89,6 +91,7 @@
         self._open_attempts: list[TargetAttempt] = []
         self._response_deadline = request.deadline + RESPONSE_GRACE_S
         self._tried_ids: list[str] = []
+        self._used_connections: set[ServerConnection] = set()
         self._is_caller_disconnected = False
         self._key_wait_until = 0.0
 
@@ -215,7 +218,7 @@
 
     def _start_attempt(self, selection: TargetSelection) -> TargetAttempt | FailedAttempt:
         """Send the request to a target without waiting for the response."""
-        call = self._open_call(self._request, selection.entry)
+        call = self._open_call(self._request, selection.entry, self._used_connections)
         attempt = TargetAttempt(call, selection)
         self._open_attempts.append(attempt)
         body = self._request.body
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -61,6 +61,10 @@
         an id on a connection that was in use before is an error.
     connect_timeout_s
         Timeout in seconds for opening a connection.
+    used_connections
+        Connections that carried earlier attempts of the request; the call uses none of them, and
+        adds its own. The target may still send a second copy of its response to one of these
+        attempts, with the same id.
 
     Attributes
     ----------
@@ -76,6 +80,7 @@
         head: RequestHead,
         request_id: bytes | None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        used_connections: set[ServerConnection] | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -88,6 +93,7 @@
         self._is_aborted = False
         self._is_connection_reused = False
         self._connect_timeout_s = connect_timeout_s
+        self._used_connections = used_connections if used_connections is not None else set()
         self.started_at = monotonic()
 
     def send(self, deadline: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
@@ -195,7 +201,10 @@
         return self._is_connection_reused and self._request_id is not None
 
     def _send_on_pooled_connection(self, data: bytes) -> None:
-        self._connection = self._pool.acquire(self._entry.address, self._connect_timeout_s)
+        self._connection = self._pool.acquire(
+            self._entry.address, self._connect_timeout_s, self._used_connections
+        )
+        self._used_connections.add(self._connection)
         self._is_connection_reused = self._connection.send_count > 0
         try:
             self._require_connection().send(data)
@@ -205,6 +214,7 @@
             # The target had closed the pooled connection, and no byte was sent.
             self.close()
             self._connection = self._pool.open(self._entry.address, self._connect_timeout_s)
+            self._used_connections.add(self._connection)
             self._is_connection_reused = False
             self._connection.send(data)
 
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -30,6 +30,7 @@
     end_to_end_fields,
 )
 from damasktide.http1.pool import ConnectionPool
+from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
 from damasktide.routing.configuration import Service
 from damasktide.routing.splitter import TrafficSplitter
@@ -285,7 +286,12 @@
         except OSError as send_error:
             logger.debug("cannot send the response to a malformed request: {}", send_error)
 
-    def _open_call(self, request: GatewayRequest, entry: TargetEntry) -> TargetCall:
+    def _open_call(
+        self,
+        request: GatewayRequest,
+        entry: TargetEntry,
+        used_connections: set[ServerConnection],
+    ) -> TargetCall:
         return TargetCall(
             self._context.pool,
             self._context.dialect,
@@ -295,6 +301,7 @@
             CONNECT_TIMEOUT_S
             if self._context.dispatcher.is_in_own_region(entry.domain)
             else CROSS_REGION_CONNECT_TIMEOUT_S,
+            used_connections,
         )
 
     def _allowance(self, service: str) -> RetryAllowance:
--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -1,78 +1,21 @@
 """Calls to targets that send responses twice, late or without end, over loopback sockets."""
 
 import unittest
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Iterator
 from time import monotonic
 
-from gevent import sleep, socket
-from gevent.server import StreamServer
+from gevent import sleep
 
 from damasktide.gateway.call import TargetCall
-from damasktide.gateway.dialect import RequestMetadata, ResponseMetadata
+from damasktide.gateway.tests.fake_target import PlainDialect, response, target
 from damasktide.http1.errors import CallError, CallFailure
-from damasktide.http1.messages import HeaderFields, RequestHead, ResponseHead, first_field
+from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import ConnectionPool
 from damasktide.targets.target import TargetEntry, TargetState
 
 TIMEOUT_S = 5.0
 
 
-class PlainDialect:
-    """A dialect with the fields ``Id`` and ``Not-Run`` only."""
-
-    def request_metadata(self, head: RequestHead) -> RequestMetadata:
-        return RequestMetadata(head.field(b"id"), None, None, "")
-
-    def call_fields(self, head: RequestHead, target_id: str, remaining_s: float) -> HeaderFields:
-        return head.headers
-
-    def response_metadata(self, head: ResponseHead) -> ResponseMetadata:
-        is_not_run = head.field(b"not-run") is not None
-        return ResponseMetadata(head.field(b"id"), True, is_not_run, False, False)
-
-    def refusal_fields(
-        self, request_id: bytes | None, retry_after_s: float | None
-    ) -> HeaderFields:
-        return ()
-
-
-def response(request_id: bytes | None, body: bytes, status: int = 200) -> bytes:
-    id_field = b"Id: %s\r\n" % request_id if request_id is not None else b""
-    extra = b"Not-Run: 1\r\n" if status == 503 else b""
-    return b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
-        status,
-        id_field,
-        extra,
-        len(body),
-        body,
-    )
-
-
-Respond = Callable[[bytes], Iterator[bytes]]
-
-
-@contextmanager
-def target(respond: Respond) -> Iterator[tuple[str, int]]:
-    """Run a target that answers each request with the parts that ``respond`` yields for its id."""
-
-    def handle(sock: socket.socket, address: object) -> None:
-        while data := sock.recv(65_536):
-            headers = tuple(
-                tuple(line.split(b": ", 1)) for line in data.split(b"\r\n")[1:] if b": " in line
-            )
-            for part in respond(first_field(headers, b"id") or b""):
-                sock.sendall(part)
-                sleep(0.01)
-
-    server = StreamServer(("127.0.0.1", 0), handle)
-    server.start()
-    try:
-        yield ("127.0.0.1", server.server_port)
-    finally:
-        server.stop(timeout=0)
-
-
 class TestLateResponses(unittest.TestCase):
     def setUp(self) -> None:
         self.pool = ConnectionPool()
--- a/packages/damasktide/src/damasktide/http1/pool.py
+++ b/packages/damasktide/src/damasktide/http1/pool.py
@@ -1,7 +1,7 @@
 """Pool of idle connections to servers."""
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from time import monotonic
 
 from damasktide.http1.errors import CallError
@@ -31,17 +31,24 @@
         self._idle_by_address: dict[Address, deque[ServerConnection]] = {}
         self._on_connect = on_connect
 
-    def acquire(self, address: Address, connect_timeout_s: float) -> ServerConnection:
-        """Return an idle connection, or open a new one.
+    def acquire(
+        self,
+        address: Address,
+        connect_timeout_s: float,
+        excluded: Collection[ServerConnection] = (),
+    ) -> ServerConnection:
+        """Return an idle connection that is not in ``excluded``, or open a new one.
 
         Raises
         ------
         CallError
             If no new connection can be opened.
         """
-        idle = self._idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
+        idle = self._idle_by_address.get(address, deque())
+        usable = [connection for connection in idle if connection not in excluded]
+        while usable:
+            connection = usable.pop()
+            idle.remove(connection)
             idle_s = monotonic() - connection.idle_since
             if idle_s < connection.idle_limit_s and not connection.has_unexpected_input():
                 return connection
