Reject a response head that contains a status line

Cause: a part of a late copy ends inside a status line or a field value, and the parser reads the next status line as its rest: the status is that of the copy, id, signature and body are those of the next response. The bytes arrive after the connection was taken, so nothing shows them in advance.

Change: a head whose reason phrase or field value contains a status line is malformed, and the request counts as possibly run.

--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -16,6 +16,11 @@
 TIMEOUT_S = 5.0
 
 
+def with_date(data: bytes) -> bytes:
+    """Return a response with a field before its id, in which a copy may break off too."""
+    return data.replace(b"\r\n", b"\r\nDate: Sat, 05 Dec 2026 12:00:00 GMT\r\n", 1)
+
+
 class TestLateResponses(unittest.TestCase):
     def setUp(self) -> None:
         self.pool = ConnectionPool()
@@ -45,6 +50,40 @@
             self.assertEqual(self.exchange(address, b"first"), (200, b"own of first"))
             self.assertEqual(self.exchange(address, b"second"), (200, b"own of second"))
 
+    def test_part_of_a_late_copy_does_not_change_the_response_after_it(self) -> None:
+        """Guards against a success for a booking that failed, and the other way round.
+
+        The copy breaks off, so the response to the next request continues its status line or one
+        of its header fields.
+        """
+        for copy_status, own_status in ((200, 500), (503, 200)):
+            copy = with_date(response(b"first", b"booked", copy_status))
+            own = with_date(response(b"second", b"own", own_status))
+            for length in range(1, len(copy) + 1):
+                with self.subTest(part=copy[:length], own=own):
+                    self.assertIn(self.result_after(copy[:length], own), (own_status, None))
+
+    def result_after(self, part: bytes, own: bytes) -> int | None:
+        """Return the status taken from ``own`` behind ``part``, or None if the call fails."""
+
+        def respond(request_id: bytes) -> Iterator[bytes]:
+            yield part + own if request_id == b"second" else response(request_id, b"")
+
+        with target(respond) as address:
+            self.exchange(address, b"first")
+            call = self.call(address, b"second")
+            call.send(monotonic() + TIMEOUT_S, b"")
+            try:
+                found = call.read_response(monotonic() + 0.1)
+            except CallError as error:
+                self.assertFalse(error.failure.excludes_execution)
+                return None
+            finally:
+                call.close()
+            self.assertEqual((found.metadata.request_id, found.body), (b"second", b"own"))
+            self.assertEqual(found.metadata.is_not_run, found.head.status == 503)
+            return found.head.status
+
     def test_interrupted_wait_goes_on_after_a_late_copy(self) -> None:
         """A hedge interrupts the wait while the late copy is being skipped."""
 
--- a/packages/damasktide/src/damasktide/http1/messages.py
+++ b/packages/damasktide/src/damasktide/http1/messages.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 message heads, kept as the bytes that were received, and the encoding of messages."""
 
+import re
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
@@ -20,6 +21,7 @@
     }
 )
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,15 @@
     return ResponseHead(status, reason, headers, False, None, ends_with_connection=True)
 
 
+def contains_status_line(texts: Iterable[bytes]) -> bool:
+    """Return whether the reason phrase or a field value of a response contains a status line.
+
+    A server that sends a part of a second copy of a response late, and then the next response,
+    produces such a head: the status is that of the copy, the fields are those of the response.
+    """
+    return any(b"HTTP/" in text and _STATUS_LINE.search(text) for text in texts)
+
+
 def encode_request(
     method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes | None
 ) -> bytes:
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from damasktide.http1.errors import CallError, CallFailure
-from damasktide.http1.messages import ResponseHead, response_head
+from damasktide.http1.messages import ResponseHead, contains_status_line, response_head
 
 RECEIVE_BYTES = 65_536
 # The kernel drops a connection whose peer acknowledges nothing for this long. With the kernel's
@@ -65,6 +65,8 @@
 
     def on_headers_complete(self) -> None:
         assert self._parser is not None
+        if contains_status_line((self._reason, *(value for _, value in self._headers))):
+            raise ValueError("a status line inside a head")
         status = self._parser.get_status_code()
         keeps_alive = self._parser.should_keep_alive()
         head = response_head(status, self._reason, tuple(self._headers), keeps_alive, self.method)
