--- a/packages/damasktide/src/damasktide/forwarding/upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/upstream.py
@@ -17,6 +17,7 @@
 
 from damasktide.admission.request import BackendResponse, CallerRequest
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure
+from damasktide.http1.messages import contains_status_line
 
 NOT_RUN_HEADER = "Damasktide-Not-Run"
 REQUEST_ID_HEADER = "Idempotency-Key"
@@ -146,6 +147,8 @@
     ) -> BackendResponse | UpstreamFailure:
         """Read the complete body; a truncated body is a failure."""
         server_id = destination.server_id
+        # Reading to the end returns the connection to the pool.
+        connection = response.connection
         try:
             body = response.read(decode_content=False)
             response.release_conn()
@@ -153,12 +156,13 @@
             return UpstreamFailure(FailureKind.TIMED_OUT, server_id)
         except (HTTPError, OSError):
             return UpstreamFailure(FailureKind.INCOMPLETE, server_id)
-        if response.headers.get(NOT_RUN_HEADER) == "1":
-            is_owner_refusal = response.status == _NOT_OWNER_STATUS
-            kind = FailureKind.NOT_OWNER if is_owner_refusal else FailureKind.SHED
-            return UpstreamFailure(kind, server_id)
-        if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
-            return UpstreamFailure(FailureKind.WRONG_ANSWER, server_id)
+        failure = _failure_in(response, request)
+        if failure is not None:
+            # The response may be a copy of an earlier one, so another one may follow it here. Nor
+            # may a further attempt use the connection, as a copy of this response has its id.
+            if connection is not None:
+                connection.close()
+            return UpstreamFailure(failure, server_id)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
         return BackendResponse(response.status, content_type, body, server_id, {})
 
@@ -182,6 +186,19 @@
         self._pools.clear()
 
 
+def _failure_in(response: BaseHTTPResponse, request: CallerRequest) -> FailureKind | None:
+    """Return the failure that a complete response reports, or None if it is the target's own."""
+    texts = (response.reason or "", *response.headers.values())
+    if contains_status_line(text.encode("latin-1", "replace") for text in texts):
+        return FailureKind.WRONG_ANSWER
+    if response.headers.get(REQUEST_ID_HEADER) != request.request_id:
+        return FailureKind.WRONG_ANSWER
+    if response.headers.get(NOT_RUN_HEADER) != "1":
+        return None
+    is_owner_refusal = response.status == _NOT_OWNER_STATUS
+    return FailureKind.NOT_OWNER if is_owner_refusal else FailureKind.SHED
+
+
 def _path(request: CallerRequest) -> str:
     path = f"/{request.service}/{request.operation}"
     if request.key is not None:
