Count a failed write of a later body part as possibly run

Cause: ServerConnection.send reported that nothing was sent if no byte of the present piece was written, also after earlier pieces of the same request; and the chunk that ends the body was written without a look for a reset.

Ruled out: a retry (such a request is sent once).

Change: send starts a request, send_body_part continues one and never reports that nothing was sent; the end of the body is checked like each other part.

--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import chain
 from time import monotonic
 
 from damasktide.gateway.dialect import Dialect, ResponseMetadata
@@ -221,14 +222,14 @@
     def _send_chunked_body(self, body: bytes, rest: Iterator[bytes]) -> None:
         connection = self._require_connection()
         if body:
-            connection.send(encode_chunk(body))
-        for data in rest:
+            connection.send_body_part(encode_chunk(body))
+        # The empty chunk ends the body.
+        for data in chain(rest, (b"",)):
             if connection.has_early_response():
                 # The rest of the body is not sent, so the connection cannot be reused.
                 connection.is_broken = True
                 return
-            connection.send(encode_chunk(data))
-        connection.send(encode_chunk(b""))
+            connection.send_body_part(encode_chunk(data))
 
     def _read_body(
         self,
--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -1,13 +1,19 @@
 """Calls to targets that send responses twice, late or without end, over loopback sockets."""
 
+import struct
 import unittest
 from collections.abc import Iterator
 from time import monotonic
 
-from gevent import sleep
+from gevent import sleep, socket
 
 from damasktide.gateway.call import TargetCall
-from damasktide.gateway.tests.fake_target import PlainDialect, response, target
+from damasktide.gateway.tests.fake_target import (
+    PlainDialect,
+    response,
+    running_server,
+    target,
+)
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import ConnectionPool
@@ -126,3 +132,32 @@
 
         with target(respond) as address:
             self.assertEqual(self.exchange(address, b"first")[0], 503)
+
+
+class TestLongBody(unittest.TestCase):
+    """Bodies that are sent while they arrive from the caller."""
+
+    def test_reset_before_the_end_of_the_body_leaves_execution_possible(self) -> None:
+        """Guards against a "not run" refusal of a booking whose response was lost.
+
+        The target runs the request before it has the whole body, and resets the connection.
+        """
+
+        def handle(sock: socket.socket, address: object) -> None:
+            sock.recv(65_536)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        def remaining_parts() -> Iterator[bytes]:
+            sleep(0.1)
+            yield from ()
+
+        pool = ConnectionPool()
+        with running_server(handle) as address:
+            entry = TargetEntry("t", 1, "s", "a1", address, 1, TargetState.READY)
+            head = RequestHead(b"POST", b"/", ((b"Id", b"long"),))
+            call = TargetCall(pool, PlainDialect(), entry, head, b"long", TIMEOUT_S)
+            with self.assertRaises(CallError) as raised:
+                call.send(monotonic() + TIMEOUT_S, b"first part", remaining_parts())
+                call.read_response(monotonic() + TIMEOUT_S)
+            self.assertFalse(raised.exception.failure.excludes_execution)
+            call.close()
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -95,7 +95,7 @@
     idle_limit_s
         Time in seconds for which it may stay idle before the pool closes it.
     send_count
-        Number of calls of :meth:`send`.
+        Number of requests sent.
     is_broken
         Whether the connection cannot be reused.
     """
@@ -144,27 +144,27 @@
             raise CallError(CallFailure.NOT_CONNECTED, str(error), is_refused) from error
 
     def send(self, data: bytes) -> None:
-        """Write a request or a further part of its body.
+        """Write a request, or the start of one.
 
         Raises
         ------
         CallError
             With ``NOT_SENT`` if no byte was written, with ``CLOSED`` otherwise.
         """
-        if self._socket is None:
-            raise CallError(CallFailure.ABORTED)
         self.send_count += 1
         self._is_response_complete = False
-        view = memoryview(data)
-        sent = 0
-        try:
-            self._socket.settimeout(SEND_TIMEOUT_S)
-            while sent < len(view):
-                sent += self._socket.send(view[sent:])
-        except OSError as error:
-            self.is_broken = True
-            failure = CallFailure.CLOSED if sent else CallFailure.NOT_SENT
-            raise CallError(failure, str(error)) from error
+        self._write(data, CallFailure.NOT_SENT)
+
+    def send_body_part(self, data: bytes) -> None:
+        """Write a further part of the body of a request.
+
+        Raises
+        ------
+        CallError
+            With ``CLOSED`` if the part was not written, because the server may run the request
+            for the parts before.
+        """
+        self._write(data, CallFailure.CLOSED)
 
     def read_head(self, method: bytes, until: float) -> ResponseHead:
         """Return the head of the next response; informational responses (1xx) are skipped.
@@ -310,6 +310,21 @@
             self._socket.close()
             self._socket = None
 
+    def _write(self, data: bytes, nothing_written: CallFailure) -> None:
+        """Write ``data``; fail with ``nothing_written`` if none of it was written."""
+        if self._socket is None:
+            raise CallError(CallFailure.ABORTED)
+        view = memoryview(data)
+        sent = 0
+        try:
+            self._socket.settimeout(SEND_TIMEOUT_S)
+            while sent < len(view):
+                sent += self._socket.send(view[sent:])
+        except OSError as error:
+            self.is_broken = True
+            failure = CallFailure.CLOSED if sent else nothing_written
+            raise CallError(failure, str(error)) from error
+
     def _skip_informational(self, until: float) -> None:
         while self._next_event(until) is not None:
             pass
--- a/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
@@ -2,6 +2,7 @@
 
 import os
 import resource
+import struct
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -140,6 +141,33 @@
         self.assertTrue(raised.exception.failure.excludes_execution)
 
 
+class TestSending(unittest.TestCase):
+    def test_failed_write_of_a_later_part_leaves_execution_possible(self) -> None:
+        """Guards against a "not run" refusal of a request whose first parts were sent."""
+
+        def handle(sock: socket.socket, address: object) -> None:
+            sock.recv(65_536)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+        with running_server(handle) as address:
+            connection = open_connection(address)
+            connection.send(REQUEST)
+            gevent.sleep(0.05)
+            with self.assertRaises(CallError) as raised:
+                connection.send_body_part(b"part")
+            self.assertFalse(raised.exception.failure.excludes_execution)
+
+    def test_failed_write_of_a_whole_request_excludes_execution(self) -> None:
+        with serving_response(OK, closes=True) as address:
+            connection = open_connection(address)
+            self.assertEqual(call(connection), (200, b"ok"))
+            gevent.sleep(0.05)
+            connection.abort()
+            with self.assertRaises(CallError) as raised:
+                connection.send(REQUEST)
+            self.assertIs(raised.exception.failure, CallFailure.NOT_SENT)
+
+
 class TestPool(unittest.TestCase):
     def test_connection_with_unexpected_bytes_is_not_reused(self) -> None:
         """Guards against a late duplicate response being returned for the next request."""
