Fail a call once its connection can deliver nothing more

Cause: the end of a body that ends with its connection, and a parser error behind complete messages, were not remembered.

Ruled out: a wait that resumes after a time-out, which must not fail; it still has its test.

Change: the connection keeps the failure that ended its input and raises it once the events before it are consumed.

--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -2,7 +2,7 @@
 
 import struct
 import unittest
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from time import monotonic
 
 from gevent import sleep, socket
@@ -10,6 +10,7 @@
 from damasktide.gateway.call import TargetCall
 from damasktide.gateway.tests.fake_target import (
     PlainDialect,
+    request_ids,
     response,
     running_server,
     target,
@@ -90,6 +91,39 @@
             self.assertEqual(found.metadata.is_not_run, found.head.status == 503)
             return found.head.status
 
+    def test_wait_ends_with_the_connection_after_a_late_copy_without_length(self) -> None:
+        """Guards against a wait that reads the end of the input again and again.
+
+        It kept the whole process busy until the deadline of the request.
+        """
+
+        def handle(sock: socket.socket, address: object) -> None:
+            for _ in request_ids(sock):
+                sock.sendall(b"HTTP/1.1 200 X\r\nId: other\r\n\r\nbody")
+                return
+
+        self.assert_fails_at_once(handle, CallFailure.CLOSED)
+
+    def test_wait_ends_at_malformed_bytes_after_a_late_copy(self) -> None:
+        """Guards against waiting for a response that can no longer be read."""
+
+        def handle(sock: socket.socket, address: object) -> None:
+            for _ in request_ids(sock):
+                sock.sendall(response(b"other", b"body") + b"\x00\x01")
+
+        self.assert_fails_at_once(handle, CallFailure.NOT_HTTP)
+
+    def assert_fails_at_once(
+        self, handle: Callable[[socket.socket, object], None], failure: CallFailure
+    ) -> None:
+        with running_server(handle) as address:
+            call = self.call(address, b"own")
+            call.send(monotonic() + TIMEOUT_S, b"")
+            with self.assertRaises(CallError) as raised:
+                call.read_response(monotonic() + 1.0)
+            self.assertIs(raised.exception.failure, failure)
+            call.close()
+
     def test_interrupted_wait_goes_on_after_a_late_copy(self) -> None:
         """A hedge interrupts the wait while the late copy is being skipped."""
 
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -113,6 +113,8 @@
         self._head: ResponseHead | None = None
         self._is_response_complete = True
         self._idle_input_bytes = 0
+        # Set once the input has ended or cannot be parsed any further.
+        self._input_failure: CallError | None = None
 
     @property
     def is_open(self) -> bool:
@@ -335,6 +337,8 @@
         return self._events.queue.popleft()
 
     def _receive(self, until: float) -> None:
+        if self._input_failure is not None:
+            raise self._input_failure
         if self._socket is None:
             raise CallError(CallFailure.ABORTED)
         remaining_s = until - monotonic()
@@ -355,9 +359,10 @@
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade, ValueError) as error:
             self.is_broken = True
+            self._input_failure = CallError(CallFailure.NOT_HTTP, str(error))
             if not self._events.queue:
-                raise CallError(CallFailure.NOT_HTTP, str(error)) from error
-            # The messages before the malformed bytes are complete and remain usable.
+                raise self._input_failure from error
+            # What came before the malformed bytes remains usable.
             logger.bind(address=self._address_text).info("malformed bytes of a server: {}", error)
         self._idle_input_bytes = 0 if self._events.queue else self._idle_input_bytes + len(data)
         if self._idle_input_bytes > MAX_IDLE_INPUT_BYTES:
@@ -369,7 +374,8 @@
 
     def _handle_end_of_stream(self) -> None:
         self.is_broken = True
+        self._input_failure = CallError(CallFailure.CLOSED, "the connection ended early")
         head = self._head
         if head is None or not head.ends_with_connection:
-            raise CallError(CallFailure.CLOSED, "the connection ended early")
+            raise self._input_failure
         self._events.queue.append(None)
