End the attempt of a request whose body stops arriving

Cause: the error of the caller's body went through Attempts to the listener without closing the call or recording its outcome.

Ruled out: a leak in the dispatcher (each recorded outcome lowers the count).

Change: the attempt ends as cancelled, its connection is closed, and a caller that is still there gets 502, because the target has the first parts.

--- a/packages/damasktide/src/damasktide/gateway/attempt_records.py
+++ b/packages/damasktide/src/damasktide/gateway/attempt_records.py
@@ -39,7 +39,8 @@
     selection
         The dispatcher's selection of the target.
     is_abandoned
-        Whether the attempt was cancelled because another one succeeded first.
+        Whether this instance cancelled the attempt, because another one succeeded first or the
+        caller's body ended early.
     """
 
     call: TargetCall
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -22,7 +22,7 @@
 from damasktide.gateway.dialect import ResponseMetadata
 from damasktide.gateway.refusals import Reason, Refusal, not_run_refusal
 from damasktide.gateway.request import GatewayRequest
-from damasktide.http1.errors import CallError, CallFailure
+from damasktide.http1.errors import BadRequestError, CallError, CallFailure
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
 from damasktide.targets.target import TargetEntry
@@ -226,6 +226,10 @@
             call.send(self._request.deadline, body.data, body.rest)
         except CallError as error:
             return self._record_call_error(attempt, error)
+        except BadRequestError as error:
+            # The target is not at fault, and it may run the request for the parts that it has.
+            attempt.is_abandoned = True
+            return self._record_call_error(attempt, CallError(CallFailure.ABORTED, error.detail))
         self._tried_ids.append(selection.entry.target_id)
         return attempt
 
--- a/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Iterator
 from time import monotonic
 
 from gevent import sleep, socket
@@ -11,6 +12,7 @@
 from damasktide.gateway.attempts import Attempts
 from damasktide.gateway.call import TargetCall, TargetResponse
 from damasktide.gateway.dialect import RequestMetadata
+from damasktide.gateway.refusals import Refusal
 from damasktide.gateway.request import Body, GatewayRequest
 from damasktide.gateway.tests.fake_target import (
     PlainDialect,
@@ -18,6 +20,7 @@
     response,
     running_server,
 )
+from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import Address, ConnectionPool
 from damasktide.routing.configuration import Route, RouteKind, Service, WeightedService
@@ -25,6 +28,7 @@
 
 TIMEOUT_S = 5.0
 SERVICE = Service("vault")
+NO_BODY = Body(b"")
 
 
 class OnlyTarget:
@@ -41,6 +45,35 @@
         self.outcomes.append(outcome)
 
 
+def request(request_id: bytes, max_attempts: int = 2, body: Body = NO_BODY) -> GatewayRequest:
+    services = (WeightedService(SERVICE.name, 1.0),)
+    route = Route("r", "h", "/", RouteKind.NON_IDEMPOTENT, services, max_attempts=max_attempts)
+    head = RequestHead(b"POST", b"/", ((b"Id", request_id),))
+    metadata = RequestMetadata(request_id, TIMEOUT_S, None, "h")
+    now = monotonic()
+    until = now + TIMEOUT_S
+    return GatewayRequest(head, metadata, body, route, SERVICE, 0, now, until, until)
+
+
+def attempts(pool: ConnectionPool, dispatcher: OnlyTarget, request: GatewayRequest) -> Attempts:
+    return Attempts(
+        request,
+        dispatcher,  # type: ignore[arg-type]
+        RetryAllowance(RetryLimits(slack=10.0)),
+        dict,
+        lambda: 1,
+        lambda request, entry, *rest: TargetCall(
+            pool,
+            PlainDialect(),
+            entry,
+            request.head,
+            request.metadata.request_id,
+            TIMEOUT_S,
+            *rest,
+        ),
+    )
+
+
 class StutteringTarget:
     """Rejects the first attempt of each request and runs the next ones.
 
@@ -80,23 +113,8 @@
         self.addCleanup(self.pool.close_all)
 
     def send(self, address: Address, request_id: bytes, max_attempts: int) -> int:
-        head = RequestHead(b"POST", b"/", ((b"Id", request_id),))
-        services = (WeightedService(SERVICE.name, 1.0),)
-        route = Route("r", "h", "/", RouteKind.NON_IDEMPOTENT, services, max_attempts=max_attempts)
-        metadata = RequestMetadata(request_id, TIMEOUT_S, None, "h")
-        now = monotonic()
-        until = now + TIMEOUT_S
-        attempts = Attempts(
-            GatewayRequest(head, metadata, Body(b""), route, SERVICE, 0, now, until, until),
-            OnlyTarget(address),  # type: ignore[arg-type]
-            RetryAllowance(RetryLimits(slack=10.0)),
-            dict,
-            lambda: 1,
-            lambda request, entry, *rest: TargetCall(
-                self.pool, PlainDialect(), entry, head, request_id, TIMEOUT_S, *rest
-            ),
-        )
-        result = attempts.run()
+        booking = request(request_id, max_attempts)
+        result = attempts(self.pool, OnlyTarget(address), booking).run()
         return result.head.status if isinstance(result, TargetResponse) else result.status
 
     def test_copy_of_a_rejection_is_not_the_answer_to_the_next_attempt(self) -> None:
@@ -118,3 +136,31 @@
             self.send(address, b"first", max_attempts=2)
             self.send(address, b"second", max_attempts=2)
         self.assertEqual(len(opened), 2)
+
+
+class TestUpload(unittest.TestCase):
+    """A body that is sent while it arrives from the caller, and that does not end."""
+
+    def test_caller_that_stops_sending_ends_the_attempt(self) -> None:
+        """Guards against counting the call as in flight at its target for good."""
+
+        def remaining_parts() -> Iterator[bytes]:
+            yield b"second part"
+            raise BadRequestError(408, "the body did not arrive in time")
+
+        received: list[bytes] = []
+
+        def handle(sock: socket.socket, address: object) -> None:
+            received.extend(iter(lambda: sock.recv(65_536), b""))
+            received.append(b"")
+
+        with running_server(handle) as address:
+            dispatcher = OnlyTarget(address)
+            body = Body(b"first part", remaining_parts())
+            result = attempts(ConnectionPool(), dispatcher, request(b"upload", body=body)).run()
+            assert isinstance(result, Refusal)
+            # A status that states "not run" would be wrong, as the target has the first part.
+            self.assertEqual((result.status, result.guarantees_not_run), (502, False))
+            self.assertEqual([outcome.is_abandoned for outcome in dispatcher.outcomes], [True])
+            sleep(0.05)
+            self.assertEqual(received[-1], b"", "the connection to the target is still open")
