Send each grant on its own connection until it is accepted

Cause: responses to grants carry no id, and grants shared connections.

Ruled out: releases (each has its own connection), renewals (one that is wrongly reported as accepted only makes a later move wait longer).

Result: the new test got "accepted" for a refused grant before the change and passes.

--- a/packages/damasktide/src/damasktide/keyspace/command_sender.py
+++ b/packages/damasktide/src/damasktide/keyspace/command_sender.py
@@ -45,6 +45,11 @@
 class CommandSender(Task):
     """Sends a few grants concurrently, and each release at once on a connection of its own.
 
+    The first call of each grant has a new connection too, because a response has no id that tells
+    it from a late second copy of an earlier one. A copy could report a barrier as accepted that
+    the target executes later, after its keys have moved. Renewals share connections: a renewal
+    that is wrongly reported as accepted only makes a later move wait longer.
+
     Parameters
     ----------
     address
@@ -68,6 +73,7 @@
         self._clock = LeaseClock()
         self._idle: list[ServerConnection] = []
         self._grant_pool = Pool(MAX_CONCURRENT_GRANTS)
+        self._accepted_fence_by_range: dict[tuple[int, int], int] = {}
         # Grants decided before a failure are not sent after it: a new process may listen at the
         # address.
         self._failed_at = float("-inf")
@@ -94,7 +100,8 @@
         gevent.spawn(self._run_release, release)
 
     def _try_grant(self, grant: Grant) -> CommandResult:
-        connection = self._idle_connection() or ServerConnection(self._address)
+        connection = self._idle_connection() if self._is_renewal(grant) else None
+        connection = connection or ServerConnection(self._address)
         try:
             if not connection.is_open:
                 connection.connect(CONNECT_TIMEOUT_S)
@@ -107,12 +114,27 @@
             connection.reset()
             self._failed_at = self._clock.now()
             return _result_of(error)
-        if connection.is_reusable():
+        if connection.is_reusable() and len(self._idle) < MAX_CONCURRENT_GRANTS:
             connection.idle_since = monotonic()
             self._idle.append(connection)
         else:
             connection.close()
-        return self._codec.result(head)
+        result = self._codec.result(head)
+        if result is CommandResult.ACCEPTED and not self._is_renewal(grant):
+            self._record_accepted(grant)
+        return result
+
+    def _is_renewal(self, grant: Grant) -> bool:
+        return self._accepted_fence_by_range.get((grant.first, grant.last)) == grant.fence
+
+    def _record_accepted(self, grant: Grant) -> None:
+        """Record the range of an accepted grant in place of all ranges that overlap it."""
+        self._accepted_fence_by_range = {
+            (first, last): fence
+            for (first, last), fence in self._accepted_fence_by_range.items()
+            if last < grant.first or first > grant.last
+        }
+        self._accepted_fence_by_range[grant.first, grant.last] = grant.fence
 
     def _idle_connection(self) -> ServerConnection | None:
         while self._idle:
--- /dev/null
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_command_sender.py
@@ -0,0 +1,95 @@
+"""Commands to a target that sends second copies of its responses, over loopback sockets."""
+
+import unittest
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from gevent import sleep, socket
+from gevent.queue import Queue
+from gevent.server import StreamServer
+
+from damasktide.http1.messages import ResponseHead, encode_request
+from damasktide.keyspace.command_sender import CommandSender
+from damasktide.keyspace.messages import CommandResult, Grant, GrantEnded, Release, ReleaseEnded
+from damasktide.runtime.clock import LeaseClock
+from damasktide.runtime.task import Stop
+from damasktide.targets.target import TargetEntry, TargetState
+
+TIMEOUT_S = 5.0
+ACCEPTED = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
+FENCED = b"HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n"
+
+
+class PlainCodec:
+    """Sends the fencing token as the path; 200 is accepted and any other status is fenced."""
+
+    def grant_request(self, grant: Grant) -> bytes:
+        return encode_request(b"POST", b"/%d" % grant.fence, (), b"")
+
+    def release_request(self, release: Release) -> bytes:
+        return encode_request(b"POST", b"/%d" % release.fence, (), b"")
+
+    def result(self, head: ResponseHead) -> CommandResult:
+        return CommandResult.ACCEPTED if head.status == 200 else CommandResult.FENCED
+
+    def handover(self, head: ResponseHead) -> str | None:
+        return None
+
+
+class StutteringTarget:
+    """Accepts the token 1 and no other, and sends each response again before the next one."""
+
+    def __init__(self) -> None:
+        self.connection_count = 0
+
+    def handle(self, sock: socket.socket, address: object) -> None:
+        self.connection_count += 1
+        late_copy = b""
+        while data := sock.recv(65_536):
+            response = ACCEPTED if data.startswith(b"POST /1 ") else FENCED
+            sock.sendall(late_copy + response)
+            late_copy = response
+
+
+class TestLateCopies(unittest.TestCase):
+    def setUp(self) -> None:
+        self.target = StutteringTarget()
+        self.ended: Queue = Queue()
+
+    @contextmanager
+    def running_sender(self) -> Iterator[CommandSender]:
+        server = StreamServer(("127.0.0.1", 0), self.target.handle)
+        server.start()
+        self.address = ("127.0.0.1", server.server_port)
+        sender = CommandSender(self.address, PlainCodec(), self.ended.put)
+        sender.start()
+        try:
+            yield sender
+        finally:
+            sender.tell(Stop())
+            server.stop(timeout=0)
+
+    def result(self, sender: CommandSender, fence: int) -> CommandResult:
+        entry = TargetEntry("t", 1, "s", "a1", self.address, 1, TargetState.READY)
+        now = LeaseClock().now()
+        sender.tell(Grant(entry, 0, 99, fence, 1.5, now, now + TIMEOUT_S))
+        ended: GrantEnded | ReleaseEnded = self.ended.get(timeout=TIMEOUT_S)
+        # The sender keeps a connection only if nothing more arrives on it.
+        sleep(0.01)
+        return ended.result
+
+    def test_copy_of_the_response_to_a_grant_does_not_accept_the_next_one(self) -> None:
+        """Guards against a barrier that counts as accepted before the target has executed it.
+
+        The next holder would be granted keys that the previous one may still be given back.
+        """
+        with self.running_sender() as sender:
+            self.assertIs(self.result(sender, fence=1), CommandResult.ACCEPTED)
+            self.assertIs(self.result(sender, fence=2), CommandResult.FENCED)
+
+    def test_renewals_share_a_connection(self) -> None:
+        """Guards against a new connection for each renewal, which costs the target time."""
+        with self.running_sender() as sender:
+            for _ in range(4):
+                self.assertIs(self.result(sender, fence=1), CommandResult.ACCEPTED)
+        self.assertLessEqual(self.target.connection_count, 2)
