--- a/packages/damasktide/src/damasktide/forwarding/tests/test_upstream.py
+++ b/packages/damasktide/src/damasktide/forwarding/tests/test_upstream.py
@@ -6,13 +6,13 @@
 from unittest import mock
 
 from gevent import sleep, socket
-from gevent.server import StreamServer
 
 from damasktide.admission.refusals import Outcome
 from damasktide.admission.request import BackendResponse, CallerRequest
 from damasktide.admission.tests.samples import BOOKING
 from damasktide.forwarding.failures import FailureKind, UpstreamFailure, refusal_for
 from damasktide.forwarding.upstream import Destination, Upstream
+from damasktide.http1.tests.loopback_server import running_server
 
 
 class CallTimeTest(unittest.TestCase):
@@ -63,12 +63,8 @@
             sock.sendall(respond(request_id.decode(), number))
             number += 1
 
-    server = StreamServer(("127.0.0.1", 0), handle)
-    server.start()
-    try:
-        yield Destination("s", "127.0.0.1", server.server_port)
-    finally:
-        server.stop(timeout=0)
+    with running_server(handle) as (host, port):
+        yield Destination("s", host, port)
 
 
 class LateCopyTest(unittest.TestCase):
--- a/packages/damasktide/src/damasktide/gateway/tests/fake_target.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/fake_target.py
@@ -4,10 +4,10 @@
 from contextlib import contextmanager
 
 from gevent import sleep, socket
-from gevent.server import StreamServer
 
 from damasktide.gateway.dialect import RequestMetadata, ResponseMetadata
 from damasktide.http1.messages import HeaderFields, RequestHead, ResponseHead, first_field
+from damasktide.http1.tests.loopback_server import running_server
 
 
 class PlainDialect:
@@ -63,14 +63,3 @@
     while data := sock.recv(65_536):
         lines = (line.split(b": ", 1) for line in data.split(b"\r\n")[1:] if b": " in line)
         yield first_field(tuple((name, value) for name, value in lines), b"id") or b""
-
-
-@contextmanager
-def running_server(handle: Callable[[socket.socket, object], None]) -> Iterator[tuple[str, int]]:
-    """Run a server that passes each connection to ``handle``."""
-    server = StreamServer(("127.0.0.1", 0), handle)
-    server.start()
-    try:
-        yield ("127.0.0.1", server.server_port)
-    finally:
-        server.stop(timeout=0)
--- a/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
@@ -18,11 +18,11 @@
     PlainDialect,
     request_ids,
     response,
-    running_server,
 )
 from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import Address, ConnectionPool
+from damasktide.http1.tests.loopback_server import running_server
 from damasktide.routing.configuration import Route, RouteKind, Service, WeightedService
 from damasktide.targets.target import TargetEntry, TargetState
 
--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -12,12 +12,12 @@
     PlainDialect,
     request_ids,
     response,
-    running_server,
     target,
 )
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import ConnectionPool
+from damasktide.http1.tests.loopback_server import running_server
 from damasktide.targets.target import TargetEntry, TargetState
 
 TIMEOUT_S = 5.0
--- a/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
@@ -7,12 +7,12 @@
 from time import monotonic
 
 from gevent import sleep, socket, spawn
-from gevent.server import StreamServer
 
 from damasktide.http1.caller_connection import CallerConnection, CallerLimits
 from damasktide.http1.errors import BadRequestError, CallError, CallFailure
 from damasktide.http1.messages import encode_request
 from damasktide.http1.server_connection import MAX_IDLE_INPUT_BYTES, ServerConnection
+from damasktide.http1.tests.loopback_server import running_server
 
 REQUEST = encode_request(b"GET", b"/", ((b"Host", b"h"),), None)
 # Long enough that only a bound on the size can end a call.
@@ -41,12 +41,8 @@
             sent.append(len(part))
             sleep(0)
 
-    server = StreamServer(("127.0.0.1", 0), handle)
-    server.start()
-    try:
-        yield ("127.0.0.1", server.server_port), sent
-    finally:
-        server.stop(timeout=0)
+    with running_server(handle) as address:
+        yield address, sent
 
 
 class TestEndlessResponses(unittest.TestCase):
--- a/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
@@ -4,18 +4,18 @@
 import resource
 import struct
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from time import monotonic
 
 import gevent
 from gevent import socket
-from gevent.server import StreamServer
 
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import encode_request
 from damasktide.http1.pool import ConnectionPool, idle_limit_s
 from damasktide.http1.server_connection import ServerConnection
+from damasktide.http1.tests.loopback_server import running_server
 
 REQUEST = encode_request(b"GET", b"/a?b=c", ((b"Host", b"h"),), None)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -36,16 +36,6 @@
         yield address
 
 
-@contextmanager
-def running_server(handle: Callable[[socket.socket, object], None]) -> Iterator[tuple[str, int]]:
-    server = StreamServer(("127.0.0.1", 0), handle)
-    server.start()
-    try:
-        yield ("127.0.0.1", server.server_port)
-    finally:
-        server.stop(timeout=0)
-
-
 def call(connection: ServerConnection) -> tuple[int, bytes]:
     head, body = connection.exchange(REQUEST, b"GET", monotonic() + TIMEOUT_S)
     return head.status, body
--- a/packages/damasktide/src/damasktide/keyspace/tests/test_command_sender.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_command_sender.py
@@ -6,9 +6,9 @@
 
 from gevent import sleep, socket
 from gevent.queue import Queue
-from gevent.server import StreamServer
 
 from damasktide.http1.messages import ResponseHead, encode_request
+from damasktide.http1.tests.loopback_server import running_server
 from damasktide.keyspace.command_sender import CommandSender
 from damasktide.keyspace.messages import CommandResult, Grant, GrantEnded, Release, ReleaseEnded
 from damasktide.runtime.clock import LeaseClock
@@ -58,16 +58,13 @@
 
     @contextmanager
     def running_sender(self) -> Iterator[CommandSender]:
-        server = StreamServer(("127.0.0.1", 0), self.target.handle)
-        server.start()
-        self.address = ("127.0.0.1", server.server_port)
-        sender = CommandSender(self.address, PlainCodec(), self.ended.put)
-        sender.start()
-        try:
-            yield sender
-        finally:
-            sender.tell(Stop())
-            server.stop(timeout=0)
+        with running_server(self.target.handle) as self.address:
+            sender = CommandSender(self.address, PlainCodec(), self.ended.put)
+            sender.start()
+            try:
+                yield sender
+            finally:
+                sender.tell(Stop())
 
     def result(self, sender: CommandSender, fence: int) -> CommandResult:
         entry = TargetEntry("t", 1, "s", "a1", self.address, 1, TargetState.READY)
