--- a/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
@@ -14,11 +14,7 @@
 from damasktide.gateway.dialect import RequestMetadata
 from damasktide.gateway.refusals import Refusal
 from damasktide.gateway.request import Body, GatewayRequest
-from damasktide.gateway.tests.fake_target import (
-    PlainDialect,
-    request_ids,
-    response,
-)
+from damasktide.gateway.tests.fake_target import PlainDialect, request_ids, response
 from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import Address, ConnectionPool
--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -8,12 +8,7 @@
 from gevent import sleep, socket
 
 from damasktide.gateway.call import TargetCall
-from damasktide.gateway.tests.fake_target import (
-    PlainDialect,
-    request_ids,
-    response,
-    target,
-)
+from damasktide.gateway.tests.fake_target import PlainDialect, request_ids, response, target
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import ConnectionPool
