--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -167,7 +167,7 @@
         logger.bind(table=table, peer=source.peer.name, version=reply.version).info(
             "read a table from another instance"
         )
-        return TableState(reply.rows, reply.version, reply.age_s)
+        return TableState(reply.rows, reply.version, reply.age_s, source.peer.name)
 
     def _changes_from_peers(self, table: str, after: int, wait_s: float) -> Changes | None:
         """Request changes from other instances; poll sources that have nothing fresh."""
@@ -220,7 +220,9 @@
     ) -> Changes | None:
         wait_s = min(wait_s, MAX_RELAY_WAIT_S)
         reply = self._request_from(source, ChangesRequest(table, after, wait_s, source.max_age_s))
-        return Changes(reply.rows, reply.version, reply.age_s) if reply is not None else None
+        if reply is None:
+            return None
+        return Changes(reply.rows, reply.version, reply.age_s, source.peer.name)
 
     def _request_from(self, source: RelaySource, request: ChangesRequest) -> RelayedChanges | None:
         requested_at = self._clock.now()
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -7,8 +7,15 @@
 
 from damasktide.routing.configuration import RoutingConfiguration
 from damasktide.routing.route_table import RouteTable
-from damasktide.rows.follower import TableChanged, TableFollower, TableRead
+from damasktide.rows.follower import (
+    FollowerMessage,
+    TableChanged,
+    TableFollower,
+    TableRead,
+    provenance,
+)
 from damasktide.rows.store import Row, RowStore
+from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Task, TaskFailed, handles
 
@@ -79,6 +86,7 @@
         self._on_configuration = on_configuration
         self._on_evacuated = on_evacuated
         self._follower = TableFollower(store, table, self.tell)
+        self._clock = LeaseClock()
         self._version_by_key: dict[str, int] = {}
         self._evacuated_domain_by_key: dict[str, str] = {}
 
@@ -98,17 +106,18 @@
     @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
-        self._apply_rows(state.rows)
+        self._apply_rows(state.rows, message)
         listed = {row.key for row in state.rows}
         for key in set(self._evacuated_domain_by_key) - listed:
             if self._version_by_key[key] < state.version:
-                self._apply_rows((Row(key, b"", state.version, is_dropped=True),))
+                dropped = Row(key, b"", state.version, is_dropped=True)
+                self._apply_rows((dropped,), message)
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
-        self._apply_rows(message.changes.rows)
+        self._apply_rows(message.rows, message)
 
-    def _apply_rows(self, rows: tuple[Row, ...]) -> None:
+    def _apply_rows(self, rows: tuple[Row, ...], message: FollowerMessage) -> None:
         for row in rows:
             if row.version <= self._version_by_key.get(row.key, 0):
                 continue
@@ -127,11 +136,13 @@
                 )
                 continue
             if isinstance(record, RoutingConfiguration) and not row.is_dropped:
-                self._activate(record, row.version)
+                self._activate(record, row.version, message)
             elif isinstance(record, Evacuation):
                 self._evacuate(row, record)
 
-    def _activate(self, configuration: RoutingConfiguration, row_version: int) -> None:
+    def _activate(
+        self, configuration: RoutingConfiguration, row_version: int, message: FollowerMessage
+    ) -> None:
         current = self.in_force.value
         if current is not None and configuration.version <= current.configuration.version:
             return
@@ -140,6 +151,7 @@
             version=configuration.version,
             row_version=row_version,
             routes=len(configuration.routes),
+            **provenance(message, self._clock.now()),
         ).info("configuration in force")
         self._on_configuration(configuration)
 
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -11,6 +11,7 @@
 from damasktide.rows.store import (
     Changes,
     HistoryLostError,
+    Row,
     RowStore,
     StoreUnavailableError,
     TableState,
@@ -82,6 +83,16 @@
     state: TableState
     requested_at: float
 
+    @property
+    def rows(self) -> tuple[Row, ...]:
+        """The rows of the table."""
+        return self.state.rows
+
+    @property
+    def relayed_by(self) -> str:
+        """Name of the instance that relayed the rows; empty for the store."""
+        return self.state.relayed_by
+
 
 @dataclass(frozen=True, slots=True)
 class TableChanged:
@@ -91,6 +102,16 @@
     changes: Changes
     requested_at: float
 
+    @property
+    def rows(self) -> tuple[Row, ...]:
+        """The changed rows."""
+        return self.changes.rows
+
+    @property
+    def relayed_by(self) -> str:
+        """Name of the instance that relayed the rows; empty for the store."""
+        return self.changes.relayed_by
+
 
 @dataclass(frozen=True, slots=True)
 class StoreUnavailable:
@@ -111,6 +132,22 @@
 AvailabilityMessage = StoreUnavailable | StoreAvailable
 
 
+def provenance(message: FollowerMessage, now: float) -> dict[str, object]:
+    """Return the fields of a log line that tell where rows came from and how old they are.
+
+    Parameters
+    ----------
+    message
+        Message with the rows.
+    now
+        Time on the lease clock in seconds at which the rows are applied.
+    """
+    return {
+        "source": message.relayed_by or "store",
+        "age_s": round(now - message.requested_at, 3),
+    }
+
+
 class TableFollower(Task):
     """Notifies another task of changes in a table; owns its connection to the store.
 
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -68,11 +68,14 @@
     relayed_age_s
         Age of the response at the start of the call if another instance relayed it, negative if
         it was requested during the call; None if the store itself responded.
+    relayed_by
+        Name of the instance that relayed the response; empty if the store itself responded.
     """
 
     rows: tuple[Row, ...]
     version: int
     relayed_age_s: float | None = None
+    relayed_by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,11 +91,14 @@
     relayed_age_s
         Age of the response at the start of the call if another instance relayed it, negative if
         it was requested during the call; None if the store itself responded.
+    relayed_by
+        Name of the instance that relayed the response; empty if the store itself responded.
     """
 
     rows: tuple[Row, ...]
     version: int
     relayed_age_s: float | None = None
+    relayed_by: str = ""
 
 
 class StoreUnavailableError(Exception):
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -81,7 +81,10 @@
         return True
 
     def record_unlisted(self, now: float, version: int, target_id: str) -> bool:
-        """Record that an entry no longer exists; return whether its target was removed at once."""
+        """Record that an entry no longer exists; return whether its target was listed.
+
+        The target is removed, or kept for a while if the entry may have expired in an outage.
+        """
         if version <= self._version_by_id.get(target_id, 0):
             return False
         self._version_by_id[target_id] = version
@@ -94,15 +97,30 @@
                 else self._store_available_at + EXPIRED_ENTRY_GRACE_S
             )
             self._kept_until_by_id.setdefault(target_id, until)
-            return False
+            return True
         self._remove(target_id)
         return True
 
-    def reconcile(self, now: float, version: int, listed_ids: frozenset[str]) -> None:
-        """Record as unlisted all known targets missing from a complete list of ``version``."""
-        for target_id in set(self._entry_by_id) - listed_ids:
-            if self._version_by_id[target_id] < version:
-                self.record_unlisted(now, version, target_id)
+    def is_kept(self, target_id: str) -> bool:
+        """Return whether the target is kept although its entry no longer exists."""
+        return target_id in self._kept_until_by_id
+
+    def reconcile(self, now: float, version: int, listed_ids: frozenset[str]) -> tuple[str, ...]:
+        """Record as unlisted, and return, the known targets missing from a complete list.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        version
+            Version of the store up to which the list is complete.
+        listed_ids
+            Ids in the list.
+        """
+        missing_ids = set(self._entry_by_id) - listed_ids
+        return tuple(
+            target_id for target_id in missing_ids if self.record_unlisted(now, version, target_id)
+        )
 
     def remove_expired(self, now: float) -> tuple[str, ...]:
         """Remove and return the targets that are still missing after the grace period."""
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -8,13 +8,16 @@
 
 from damasktide.rows.follower import (
     BUSY_POLL_SCHEDULE,
+    FollowerMessage,
     StoreAvailable,
     StoreUnavailable,
     TableChanged,
     TableFollower,
     TableRead,
+    provenance,
 )
 from damasktide.rows.store import Row, RowStore
+from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Task, TaskFailed, every, handles
 from damasktide.targets.directory import TargetDirectory
@@ -83,6 +86,7 @@
         self._on_change = on_change
         self._on_store_unavailable = on_store_unavailable
         self._directory = TargetDirectory()
+        self._clock = LeaseClock()
         self._follower = TableFollower(
             store, table, self.tell, BUSY_POLL_SCHEDULE, self.tell, self._fingerprint
         )
@@ -105,16 +109,17 @@
     @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
-        self._apply_rows(state.rows)
+        self._apply_rows(message)
         listed_ids = frozenset(row.key for row in state.rows)
-        self._directory.reconcile(monotonic(), state.version, listed_ids)
+        for target_id in self._directory.reconcile(monotonic(), state.version, listed_ids):
+            self._log_unlisted(target_id, state.version, message)
         self.has_read = True
         self.confirmed_at.publish(message.requested_at)
         self._publish()
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
-        self._apply_rows(message.changes.rows)
+        self._apply_rows(message)
         self.confirmed_at.publish(message.requested_at)
         self._publish()
 
@@ -141,12 +146,12 @@
             logger.bind(target=target_id, life=started_at_ms).info("target announced its end")
         self._publish()
 
-    def _apply_rows(self, rows: tuple[Row, ...]) -> None:
+    def _apply_rows(self, message: FollowerMessage) -> None:
         now = monotonic()
-        for row in rows:
+        for row in message.rows:
             if row.is_dropped:
                 if self._directory.record_unlisted(now, row.version, row.key):
-                    logger.bind(target=row.key, version=row.version).info("target removed")
+                    self._log_unlisted(row.key, row.version, message)
                 continue
             entry = self._decode_logged(row)
             if entry is None:
@@ -158,8 +163,15 @@
                     state=entry.state.value,
                     life=entry.started_at_ms,
                     cold_s=entry.cold_start_remaining_s,
+                    **provenance(message, self._clock.now()),
                 ).info("target changed")
 
+    def _log_unlisted(self, target_id: str, version: int, message: FollowerMessage) -> None:
+        is_kept = self._directory.is_kept(target_id)
+        logger.bind(
+            target=target_id, version=version, **provenance(message, self._clock.now())
+        ).info("unlisted target kept after an outage" if is_kept else "target removed")
+
     def _decode_logged(self, row: Row) -> TargetEntry | None:
         """Return the entry in a row, or log why it is ignored and return None."""
         context = logger.bind(target=row.key, version=row.version)
