--- /dev/null
+++ b/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
@@ -0,0 +1,122 @@
+"""Changes reach every instance in touch in time, whichever others are lost; on a virtual clock."""
+
+import unittest
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+from damasktide.relay.tests.simulation import LateChange, World
+from damasktide.relay.tests.virtual_time import VirtualTime, patched_clocks
+from damasktide.runtime.registry import Registry
+
+# Time in seconds within which the users' smaller deployments act on a change.
+APPLY_S = 2.5
+SEEDS = range(6)
+FAULT_AT_S = 6.0
+DAY_S = 22.0
+
+Fault = Callable[[World], None]
+faults: Registry[str, Fault] = Registry("fault of the simulated relay")
+
+
+@faults.register("none")
+def _no_fault(world: World) -> None:
+    pass
+
+
+@faults.register("power of the roots near the store")
+def _near_roots_lose_power(world: World) -> None:
+    for name in world.roots("a"):
+        world.lose_power(name, 5.0)
+
+
+@faults.register("pause of a root near the store")
+def _near_root_pauses(world: World) -> None:
+    world.pause(world.roots("a")[0], 5.0)
+
+
+@faults.register("cut around the roots near the store")
+def _near_roots_are_cut_off(world: World) -> None:
+    for name in world.roots("a"):
+        world.cut(name, 8.0)
+
+
+@faults.register("cut around a root far from the store")
+def _far_root_is_cut_off(world: World) -> None:
+    world.cut(world.roots("b")[0], 8.0)
+
+
+@faults.register("pause of the roots far from the store")
+def _far_roots_pause(world: World) -> None:
+    for name in world.roots("b"):
+        world.pause(name, 5.0)
+
+
+@faults.register("cut around a third of the instances")
+def _third_is_cut_off(world: World) -> None:
+    names = sorted(world.instance_by_name)
+    for name in world.rng.sample(names, len(names) // 3):
+        world.cut(name, 8.0)
+
+
+@faults.register("root cut off from the store")
+def _root_is_cut_off_from_the_store(world: World) -> None:
+    world.cut_from_store(world.roots("a")[0], 8.0)
+
+
+@faults.register("instances lose power in turn")
+def _instances_lose_power_in_turn(world: World) -> None:
+    for delay_s, name in enumerate(sorted(world.instance_by_name)):
+        world.time.schedule(float(delay_s), partial(world.lose_power, name, 1.5))
+
+
+def late_changes(fault: Fault, seed: int) -> list[LateChange]:
+    """Play a day and return the changes that an instance in touch did not know in time."""
+    time = VirtualTime()
+    with patched_clocks(time):
+        world = World(time, Random(seed), APPLY_S)
+        time.run(FAULT_AT_S)
+        # Changes at the start count only once all instances have read the tables.
+        world.late_changes.clear()
+        fault(world)
+        time.run(DAY_S)
+        return world.late_changes
+
+
+class TestAgeOfChanges(unittest.TestCase):
+    def check(self, name: str) -> None:
+        for seed in SEEDS:
+            with self.subTest(fault=name, seed=seed):
+                self.assertEqual(late_changes(faults.get(name), seed), [])
+
+    def test_no_fault(self) -> None:
+        self.check("none")
+
+    def test_lost_roots_near_the_store(self) -> None:
+        """Guards against time limits that add up along the way of a change."""
+        self.check("power of the roots near the store")
+
+    def test_paused_root_near_the_store(self) -> None:
+        """Guards against time limits that add up along the way of a change."""
+        self.check("pause of a root near the store")
+
+    def test_roots_near_the_store_that_are_cut_off(self) -> None:
+        """Guards against time limits that add up along the way of a change."""
+        self.check("cut around the roots near the store")
+
+    def test_root_far_from_the_store_that_is_cut_off(self) -> None:
+        """Guards against a root that asks several lost sources before the store."""
+        self.check("cut around a root far from the store")
+
+    def test_paused_roots_far_from_the_store(self) -> None:
+        self.check("pause of the roots far from the store")
+
+    def test_third_of_the_instances_cut_off(self) -> None:
+        self.check("cut around a third of the instances")
+
+    def test_root_cut_off_from_the_store(self) -> None:
+        self.check("root cut off from the store")
+
+    def test_instances_that_lose_power_in_turn(self) -> None:
+        """Guards against instances that are held up by a source that has just started."""
+        self.check("instances lose power in turn")
