Follow all tables at one source, so that no call waits at a lost instance unseen

What callers saw: a new configuration not in force up to 5 s after its acknowledgement at an instance in touch (CONFIG, in the simulation).

Cause: only calls about the list of targets, which wait 0.4 s, find out that an instance is silent. A call about the configuration waits 4 s, plus 0.35 or 1 s of margin. When an excluded source returned, the calls about the targets went back to it while the call about the configuration went on waiting at the substitute. If the substitute then lost power or was cut off, nothing ended that call.

Ruled out: the calls lost in a cut itself; they share one ordered link, and a failed call ends the others to the same instance.

Change: a call to another source ends the calls that wait at the former one, and the failure of a call ended so is not held against its instance.

--- a/packages/damasktide/src/damasktide/relay/exchange.py
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -77,19 +77,33 @@
         self._listen = listen
         self._handlers: Registry[str, CallHandler] = Registry("peer call")
         self._handlers.register(CHANGES_KIND)(changes_server.serve)
+        self._followed: RelayPeer | None = None
         self._server: PeerServer | None = None
         self._client: PeerClient | None = None
 
+    def follow(self, source: RelaySource) -> None:
+        """Make ``source`` the instance at which all tables are followed.
+
+        Calls that wait at the former one end. Only the calls about a table that changes constantly
+        notice that an instance is silent, so no other call may wait where none of them goes.
+        """
+        former, self._followed = self._followed, source.peer
+        if former is not None and former.name != source.peer.name and self._client is not None:
+            self._client.tell(DropLink(former.address))
+
     def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         """Request the changes of a table from a peer; a failed call counts as a refusal."""
         if self._client is None:
             return ChangesRefused("no links yet")
         peer = source.peer
+        followed = self._followed
         timeout_s = request.wait_s + source.reply_margin_s
         result = self._client.call(
             *peer.address, CHANGES_KIND, encode_changes_request(request), timeout_s
         )
         if isinstance(result, Failure):
+            if self._followed is not followed:
+                return ChangesRefused("the source has changed")
             self._peer_failed(peer, result.failure().reason)
             return ChangesRefused("no answer")
         try:
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -174,6 +174,7 @@
         sources = self._exchange.sources
         refused_at: float | None = None
         while (source := sources.source(monotonic())) is not None:
+            self._exchange.follow(source)
             changes = self._changes_from(
                 source, table, after, wait_s if refused_at is None else 0.0
             )
--- a/packages/damasktide/src/damasktide/relay/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/relay/tests/simulation.py
@@ -161,6 +161,7 @@
         self.sources = RelaySourceSelector(peer.name)
         self._world = world
         self._pending_by_peer: dict[str, list[Any]] = {}
+        self._followed = ""
         peers = world.peers_by_domain
         self.sources.set_order(
             relay_order(peers[domain]), upstream(peers, REGION_BY_DOMAIN, domain)
@@ -194,9 +195,16 @@
         tracked = snapshot.tracked_by_key.get(change.key)
         return tracked is not None and tracked.row.version >= change.version
 
+    def follow(self, source: RelaySource) -> None:
+        """See :meth:`damasktide.relay.exchange.RelayExchange.follow`."""
+        former, self._followed = self._followed, source.peer.name
+        if former != source.peer.name:
+            self._drop_link(former)
+
     def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         """See :meth:`damasktide.relay.exchange.RelayExchange.request_changes`."""
         peer = source.peer.name
+        followed = self._followed
         done = self._world.event_type()
         replies: list[ChangesReply] = []
         pending = self._pending_by_peer.setdefault(peer, [])
@@ -207,13 +215,18 @@
             pending.remove(done)
         if replies:
             return replies[0]
+        if self._followed != followed:
+            return ChangesRefused("the source has changed")
         self.sources.record_peer_failure(self._world.time.now(), peer)
-        # The link is dropped, which ends the other calls to the peer.
         done.set()
-        for other in self._pending_by_peer.pop(peer, []):
-            other.set()
+        self._drop_link(peer)
         return ChangesRefused("no answer")
 
+    def _drop_link(self, peer: str) -> None:
+        """End the calls to an instance; bytes that a cut holds back are lost."""
+        for done in self._pending_by_peer.pop(peer, []):
+            done.set()
+
     def _availability_changed(self, message: object) -> None:
         if isinstance(message, StoreUnavailable) and message.table == TARGETS:
             self.follower_by_table[OPERATORS].interrupt()
@@ -252,6 +265,8 @@
         contact_s: float = 4.0,
     ) -> None:
         self.late_changes: list[LateChange] = []
+        # Shortest and longest time between two changes of the configuration.
+        self.configuration_interval_s = (0.3, 1.5)
         self._limit_s = limit_s
         self._contact_s = contact_s
         self.time = time
@@ -409,7 +424,7 @@
 
     def _change_configuration(self) -> None:
         for number in count(2):
-            self.time.sleep(self.rng.uniform(0.3, 1.5))
+            self.time.sleep(self.rng.uniform(*self.configuration_interval_s))
             self.put_checked(OPERATORS, "configuration", b"%d" % number)
 
     def _change_leader(self) -> None:
--- a/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
@@ -5,7 +5,7 @@
 from functools import partial
 from random import Random
 
-from damasktide.relay.tests.simulation import LateChange, World
+from damasktide.relay.tests.simulation import OPERATORS, LateChange, World
 from damasktide.relay.tests.virtual_time import VirtualTime, patched_clocks
 from damasktide.runtime.registry import Registry
 
@@ -70,6 +70,16 @@
         world.time.schedule(float(delay_s), partial(world.lose_power, name, 1.5))
 
 
+@faults.register("source returns, and its substitute loses power")
+def _substitute_is_lost(world: World) -> None:
+    # Changes are rare enough that a call waits at the substitute when the first source returns.
+    world.configuration_interval_s = (3.0, 4.0)
+    first, substitute = world.roots("a")
+    world.lose_power(first, 1.5)
+    lose_substitute = partial(world.lose_power, substitute, 6.0)
+    world.time.schedule(world.rng.uniform(3.4, 4.4), lose_substitute)
+
+
 def late_changes(fault: Fault, seed: int) -> list[LateChange]:
     """Play a day and return the changes that an instance in touch did not know in time."""
     time = VirtualTime()
@@ -117,6 +127,14 @@
     def test_root_cut_off_from_the_store(self) -> None:
         self.check("root cut off from the store")
 
+    def test_lost_substitute_of_a_source_that_returned(self) -> None:
+        """Guards against a call that waits at an instance which no other call would find lost."""
+        fault = faults.get("source returns, and its substitute loses power")
+        for seed in range(6, 14):
+            with self.subTest(seed=seed):
+                late = late_changes(fault, seed)
+                self.assertEqual([one for one in late if one.change.table == OPERATORS], [])
+
     def test_instances_that_lose_power_in_turn(self) -> None:
         """Guards against instances that are held up by a source that has just started."""
         self.check("instances lose power in turn")
--- a/packages/damasktide/src/damasktide/relay/tests/test_refused_root.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_refused_root.py
@@ -116,6 +116,9 @@
         snapshots = {table: one.snapshot for table, one in self.follower_by_table.items()}
         self.server = ChangesServer(snapshots, table_sources, LeaseClock())
 
+    def follow(self, source: RelaySource) -> None:
+        """Do nothing, because neither of the two instances has a choice of sources."""
+
     def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         gevent.sleep(0.001)
         return self.others[source.peer.name].server.reply_to(request)
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -99,6 +99,9 @@
         self.reply_by_table: dict[str, ChangesReply] = {}
         self.requested_peers: list[str] = []
 
+    def follow(self, source: RelaySource) -> None:
+        """Do nothing, because no call waits."""
+
     def request_changes(self, source: RelaySource, request: ChangesRequest) -> ChangesReply:
         self.requested_peers.append(source.peer.name)
         if not request.is_full_read and request.table in self.reply_by_table:
