State up to when each relayed table is known, not when its source replied last

Cause: a reply of one instance about any table confirmed all tables followed there. An instance that knew one table as of 9.0 s and another as of 10.0 s made its child state both as of 10.0 s, so each level could hide what the one above had waited. A table polled with gaps (0.6 s for the targets) was also confirmed between its calls, and an empty reply stated the age of the latest rows instead of that of the confirmation.

Change: a reply names the age of each table that its sender knows; a table is confirmed by a reply about another one only while a call for it waits at the same source, and no further than that source knew it. What was known stays known when the source changes. A process of the previous code ignores the new field, and one that receives none confirms only the table of the reply.

Two tests of TableSources counted a table as confirmed between calls; they now request it first, and new tests cover the gap, the order of calls, and the measured case, which the former class cannot express.

--- a/packages/damasktide/src/damasktide/relay/codec.py
+++ b/packages/damasktide/src/damasktide/relay/codec.py
@@ -90,13 +90,18 @@
         builder.value = row.value
         builder.version = row.version
         builder.isDropped = row.is_dropped
+    confirmed = changes.init("confirmed", len(reply.age_s_by_table))
+    for builder, (table, age_s) in zip(confirmed, reply.age_s_by_table.items(), strict=True):
+        builder.table = table
+        builder.ageS = age_s
 
 
 def _read_changes(changes: Any) -> RelayedChanges:
     rows = tuple(
         Row(row.key, bytes(row.value), row.version, row.isDropped) for row in changes.rows
     )
-    return RelayedChanges(rows, changes.version, changes.ageS)
+    age_s_by_table = {confirmation.table: confirmation.ageS for confirmation in changes.confirmed}
+    return RelayedChanges(rows, changes.version, changes.ageS, age_s_by_table)
 
 
 def _decompress(data: bytes) -> bytes:
--- a/packages/damasktide/src/damasktide/relay/messages.capnp
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -21,6 +21,13 @@
   version @0 :UInt64;
   ageS @1 :Float64;
   rows @2 :List(Row);
+  confirmed @3 :List(Confirmation);
+  # Of each table that the sender has read.
+}
+
+struct Confirmation {
+  table @0 :Text;
+  ageS @1 :Float64;
 }
 
 struct Row {
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -1,6 +1,7 @@
 """Messages between instances about changes of the store's tables."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from damasktide.rows.store import Row
 
@@ -44,13 +45,16 @@
     version
         Version of the store up to which the rows are complete.
     age_s
-        Age of the store's last response about the table when the request arrived, in seconds;
-        negative if the response was requested later.
+        Time in seconds, before the arrival of the request, up to which the sender knows all
+        changes of the table; negative if it knows changes since.
+    age_s_by_table
+        The same for each table that the sender has read.
     """
 
     rows: tuple[Row, ...]
     version: int
     age_s: float
+    age_s_by_table: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -201,7 +201,7 @@
             )
         self._is_interrupted = False
         requested_at = self._clock.now()
-        self._table_sources.record_request(table, STORE)
+        self._table_sources.record_request(table, STORE, requested_at)
         try:
             result = call()
         except StoreUnavailableError:
@@ -212,7 +212,7 @@
         except HistoryLostError:
             self._table_sources.record_failure(table)
             raise
-        self._table_sources.record_reply(table, STORE, requested_at)
+        self._table_sources.record_store_reply(table, requested_at)
         sources.record_store_response()
         return result
 
@@ -227,14 +227,18 @@
 
     def _request_from(self, source: RelaySource, request: ChangesRequest) -> RelayedChanges | None:
         requested_at = self._clock.now()
-        self._table_sources.record_request(request.table, source.peer.name)
+        self._table_sources.record_request(request.table, source.peer.name, requested_at)
         reply = self._exchange.request_changes(source, request)
         if isinstance(reply, ChangesRefused):
             self._table_sources.record_failure(request.table)
             self._are_changes_forgotten |= reply.reason == CHANGES_FORGOTTEN
             return None
-        self._table_sources.record_reply(
-            request.table, source.peer.name, requested_at - reply.age_s
+        self._table_sources.record_peer_reply(
+            request.table,
+            source.peer.name,
+            requested_at,
+            requested_at - reply.age_s,
+            {table: requested_at - age_s for table, age_s in reply.age_s_by_table.items()},
         )
         self._exchange.sources.record_peer_reply(source.peer.name)
         return reply
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -70,8 +70,10 @@
             if snapshot is None:
                 return ChangesRefused("not read yet")
             now = self._clock.now()
-            confirmed_at = self._table_sources.confirmed_at(request.table)
-            fresh_until = max(snapshot.requested_at, confirmed_at) + request.max_age_s
+            confirmed_at = max(
+                snapshot.requested_at, self._table_sources.confirmed_at(request.table)
+            )
+            fresh_until = confirmed_at + request.max_age_s
             if now > fresh_until:
                 return ChangesRefused("no fresh answer of the store")
             # Checked after the freshness, so that the requester can read the complete table here.
@@ -81,7 +83,15 @@
             if rows or now >= until or request.is_full_read:
                 # Relative to the arrival, because the requester counts from the time at which it
                 # sent the request.
-                return RelayedChanges(rows, snapshot.version, arrived_at - snapshot.requested_at)
+                return RelayedChanges(
+                    rows,
+                    snapshot.version,
+                    arrived_at - confirmed_at,
+                    {
+                        table: arrived_at - at
+                        for table, at in self._table_sources.confirmed_at_by_table().items()
+                    },
+                )
             # The wait ends once the snapshot is stale, so that the requester does not depend on an
             # instance that has lost contact with the store itself.
             published.wait_for_change(
--- a/packages/damasktide/src/damasktide/relay/table_sources.py
+++ b/packages/damasktide/src/damasktide/relay/table_sources.py
@@ -1,55 +1,104 @@
-"""Which source each table is followed at; a state machine without I/O."""
+"""Up to when each table is known to be complete; a state machine without I/O."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 # Name of the store as a source; instances have non-empty names.
 STORE = ""
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingCall:
+    source: str
+    requested_at: float
+
+
 class TableSources:
-    """Tracks the source of each table and the latest reply of each source.
+    """Tracks where the changes of each table are requested, and up to when they are known.
 
     A follower may wait for seconds until a quiet table changes. Replies of the same source about
-    other tables show meanwhile that it would have reported a change. Replies of another source
-    show nothing about the table.
+    other tables show meanwhile that it would have reported a change. That holds for the store,
+    which knows all changes, up to the time at which such a reply was requested. Another instance
+    states for each table up to when it knows the changes itself. A reply shows nothing about a
+    table whose changes are not being requested from its source.
 
     Times are seconds on the lease clock.
     """
 
     def __init__(self) -> None:
-        self._source_by_table: dict[str, str] = {}
-        self._confirmed_at_by_source: dict[str, float] = {}
+        self._pending_by_table: dict[str, _PendingCall] = {}
+        self._confirmed_at_by_table: dict[str, float] = {}
+
+    def record_request(self, table: str, source: str, requested_at: float) -> None:
+        """Record that a call requests the changes of ``table`` from ``source``."""
+        self._pending_by_table[table] = _PendingCall(source, requested_at)
 
-    def record_request(self, table: str, source: str) -> None:
-        """Record that the changes of ``table`` are requested from ``source``."""
-        if self._source_by_table.get(table) != source:
-            self._source_by_table.pop(table, None)
+    def record_store_reply(self, table: str, requested_at: float) -> None:
+        """Record a reply of the store with the rows or changes of ``table``.
+
+        Parameters
+        ----------
+        table
+            Name of the table.
+        requested_at
+            Time at which the reply was requested.
+        """
+        waiting = self._waiting_tables(STORE, requested_at)
+        self._record_reply(table, requested_at, dict.fromkeys(waiting, requested_at))
 
-    def record_reply(self, table: str, source: str, requested_at: float) -> None:
-        """Record a reply with the rows or changes of ``table``.
+    def record_peer_reply(
+        self,
+        table: str,
+        source: str,
+        requested_at: float,
+        confirmed_at: float,
+        confirmed_at_by_table: Mapping[str, float],
+    ) -> None:
+        """Record a reply of another instance with the rows or changes of ``table``.
 
         Parameters
         ----------
         table
             Name of the table.
         source
-            Name of the instance that replied, or ``STORE``.
+            Name of the instance.
         requested_at
-            Time at which the reply was requested from the store.
+            Time at which the reply was requested.
+        confirmed_at
+            Time up to which the reply has all changes of ``table``.
+        confirmed_at_by_table
+            Time up to which the instance knew the changes of each table when it replied.
         """
-        self._source_by_table[table] = source
-        self._confirmed_at_by_source[source] = max(
-            requested_at, self._confirmed_at_by_source.get(source, requested_at)
-        )
+        waiting = self._waiting_tables(source, requested_at)
+        confirmed = {other: at for other, at in confirmed_at_by_table.items() if other in waiting}
+        self._record_reply(table, confirmed_at, confirmed)
 
     def record_failure(self, table: str) -> None:
         """Record that the source of ``table`` refused or did not reply."""
-        self._source_by_table.pop(table, None)
+        self._pending_by_table.pop(table, None)
 
     def confirmed_at(self, table: str) -> float:
-        """Return the time of the latest reply of the source at which ``table`` is followed.
+        """Return the time up to which all changes of ``table`` are known.
 
-        The result is negative infinity if the table is not followed at any source.
+        The result is negative infinity if the table has not been read.
         """
-        source = self._source_by_table.get(table)
-        if source is None:
-            return float("-inf")
-        return self._confirmed_at_by_source[source]
+        return self._confirmed_at_by_table.get(table, float("-inf"))
+
+    def confirmed_at_by_table(self) -> Mapping[str, float]:
+        """Return :meth:`confirmed_at` of all tables that have been read."""
+        return dict(self._confirmed_at_by_table)
+
+    def _waiting_tables(self, source: str, requested_at: float) -> frozenset[str]:
+        """Return the tables for which a call waits at ``source`` since ``requested_at``."""
+        return frozenset(
+            table
+            for table, call in self._pending_by_table.items()
+            if call.source == source and call.requested_at <= requested_at
+        )
+
+    def _record_reply(
+        self, table: str, confirmed_at: float, confirmed_at_by_table: Mapping[str, float]
+    ) -> None:
+        self._pending_by_table.pop(table, None)
+        for other, at in {**confirmed_at_by_table, table: confirmed_at}.items():
+            self._confirmed_at_by_table[other] = max(at, self.confirmed_at(other))
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -197,8 +197,8 @@
             self.table_sources,
         )
         now = LeaseClock().now()
-        self.table_sources.record_reply(TABLE, STORE, now - 3.0)
-        self.table_sources.record_reply(BUSY_TABLE, STORE, now - 3.0)
+        self.table_sources.record_store_reply(TABLE, now - 3.0)
+        self.table_sources.record_store_reply(BUSY_TABLE, now - 3.0)
 
     def test_table_that_the_fallback_declines_is_not_relayed_as_fresh(self) -> None:
         state = TableState((Row("config", b"old", 4),), 6)
@@ -229,29 +229,70 @@
 
 
 class TestTableSources(unittest.TestCase):
+    PEER = "peer"
+
     def setUp(self) -> None:
         self.sources = TableSources()
-        self.sources.record_reply(TABLE, STORE, 10.0)
+        self.sources.record_store_reply(TABLE, 10.0)
+
+    def record_peer_reply(self, requested_at: float, **confirmed_at_by_table: float) -> None:
+        """Record a reply about the busy table."""
+        self.sources.record_peer_reply(
+            BUSY_TABLE, self.PEER, requested_at, requested_at, confirmed_at_by_table
+        )
 
     def test_unknown_table_is_not_confirmed(self) -> None:
         self.assertEqual(self.sources.confirmed_at(BUSY_TABLE), float("-inf"))
 
-    def test_replies_count_for_all_tables_of_the_source(self) -> None:
-        self.sources.record_reply(BUSY_TABLE, STORE, 12.0)
+    def test_replies_of_the_store_confirm_the_tables_that_wait_there(self) -> None:
+        self.sources.record_request(TABLE, STORE, 10.1)
+        self.sources.record_store_reply(BUSY_TABLE, 12.0)
         self.assertEqual(self.sources.confirmed_at(TABLE), 12.0)
 
-    def test_request_to_another_source_ends_the_confirmation(self) -> None:
+    def test_replies_do_not_confirm_a_table_between_two_calls(self) -> None:
+        """Guards against counting a table as polled that is only polled each 0.6 s."""
+        self.sources.record_store_reply(BUSY_TABLE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
+
+    def test_reply_does_not_confirm_a_table_whose_call_was_sent_later(self) -> None:
+        self.sources.record_request(TABLE, STORE, 12.1)
+        self.sources.record_store_reply(BUSY_TABLE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
+
+    def test_another_instance_confirms_a_table_only_up_to_its_own_knowledge(self) -> None:
+        """Guards against a table that looks fresh because its source reads another one.
+
+        Measured: an instance that knew one table as of 9.0 s and another as of 10.0 s made the
+        instance below it state both as of 10.0 s.
+        """
+        self.sources.record_request(TABLE, self.PEER, 10.5)
+        self.record_peer_reply(13.0, op=11.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 11.0)
+        self.assertEqual(self.sources.confirmed_at(BUSY_TABLE), 13.0)
+
+    def test_replies_of_another_source_confirm_nothing(self) -> None:
+        self.sources.record_request(TABLE, STORE, 10.5)
+        self.record_peer_reply(13.0, op=13.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
+
+    def test_request_to_another_source_ends_the_confirmation_at_the_former_one(self) -> None:
         """Guards against counting a source that has not yet replied about the table."""
-        self.sources.record_reply(BUSY_TABLE, "peer", 12.0)
-        self.sources.record_request(TABLE, "peer")
-        self.assertEqual(self.sources.confirmed_at(TABLE), float("-inf"))
-        self.sources.record_reply(TABLE, "peer", 11.0)
-        self.assertEqual(self.sources.confirmed_at(TABLE), 12.0)
+        self.sources.record_request(TABLE, STORE, 10.1)
+        self.sources.record_request(TABLE, self.PEER, 11.0)
+        self.sources.record_store_reply(BUSY_TABLE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
 
     def test_failure_ends_the_confirmation(self) -> None:
+        self.sources.record_request(TABLE, STORE, 10.1)
         self.sources.record_failure(TABLE)
-        self.sources.record_reply(BUSY_TABLE, STORE, 12.0)
-        self.assertEqual(self.sources.confirmed_at(TABLE), float("-inf"))
+        self.sources.record_store_reply(BUSY_TABLE, 12.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
+
+    def test_older_confirmation_changes_nothing(self) -> None:
+        """Guards against a table that looks older after a change of its source."""
+        self.sources.record_request(TABLE, self.PEER, 10.5)
+        self.record_peer_reply(13.0, op=9.0)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
 
 
 class TestStartInALargeDomain(unittest.TestCase):
@@ -382,16 +423,18 @@
 
     def test_replies_of_the_same_source_confirm_a_quiet_table(self) -> None:
         """Guards against a call to the store for each quiet table that no one changes."""
-        self.table_sources.record_reply(TABLE, STORE, 99.8)
+        self.table_sources.record_request(TABLE, STORE, 99.8)
         self.clock.advance(3.0)
-        self.table_sources.record_reply(BUSY_TABLE, STORE, 102.9)
+        self.table_sources.record_store_reply(BUSY_TABLE, 102.9)
         self.assertIsInstance(self.request(6), RelayedChanges)
 
     def test_replies_of_another_source_do_not_confirm_a_table(self) -> None:
         """Guards against relaying an old configuration because the list of targets is fresh."""
-        self.table_sources.record_reply(TABLE, STORE, 99.8)
+        self.table_sources.record_request(TABLE, STORE, 99.8)
         self.clock.advance(3.0)
-        self.table_sources.record_reply(BUSY_TABLE, ORDER[1].name, 102.9)
+        self.table_sources.record_peer_reply(
+            BUSY_TABLE, ORDER[1].name, 102.9, 102.9, {TABLE: 102.9}
+        )
         self.assertIsInstance(self.request(6), ChangesRefused)
 
     def test_waiting_request_is_refused_when_the_snapshot_becomes_stale(self) -> None:
@@ -435,7 +478,8 @@
         ):
             self.assertEqual(decode_changes_request(encode_changes_request(request)), request)
         rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
-        for reply in (RelayedChanges(rows, 9, 0.25), ChangesRefused("why")):
+        ages = {TABLE: 0.25, BUSY_TABLE: -0.5}
+        for reply in (RelayedChanges(rows, 9, 0.25, ages), ChangesRefused("why")):
             self.assertEqual(decode_changes_reply(encode_changes_reply(reply)), reply)
         self.assertLess(len(encode_changes_reply(RelayedChanges(rows, 9, 0.25))), 10_000)
 
