Bound what is kept of bodies without end of late copies and of commands

Report of other operators: a faulty target sent bytes without end, and the machine that kept them ran out of memory. Heads and single bodies were bounded, but three ways were left:

- The body of a response with the id of another request was read to discard it, but kept meanwhile, up to 16 MiB for each call; a machine has 200 MB.
- So was the body of a response to a grant or a release, up to 16 MiB for each target of the leader.
- A body was kept as a list of its parts: in chunks of two bytes it took 17 times what the server sent.

Ruled out: heads, trailers, chunk extensions (bounded before), a body that is passed on (at most 256 KiB are kept, then each part waits for the caller, 2 s at most without progress), frames of peers (2 MiB, 16 MiB decompressed).

Change: skipped bodies are discarded and bounded by 256 KiB, bodies of responses to commands by 64 KiB, and a body is gathered in one buffer.

--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -151,7 +151,7 @@
                 self._response_metadata = metadata
                 return
             # A duplicate response to an earlier request on this connection, which arrived late.
-            connection.read_whole_body(until)
+            connection.skip_body(until, MAX_BUFFERED_RESPONSE_BYTES)
 
     def read_response(self, until: float) -> TargetResponse:
         """Return the response to this request with the complete body, or the start of a long one.
@@ -238,14 +238,12 @@
         metadata: ResponseMetadata,
         until: float,
     ) -> TargetResponse:
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         for data in connection.read_body(until):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_RESPONSE_BYTES:
-                return TargetResponse(head, metadata, b"".join(parts), is_complete=False)
-        return TargetResponse(head, metadata, b"".join(parts), is_complete=True)
+            body += data
+            if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
+                return TargetResponse(head, metadata, bytes(body), is_complete=False)
+        return TargetResponse(head, metadata, bytes(body), is_complete=True)
 
     def _require_connection(self) -> ServerConnection:
         if self._connection is None or self._is_aborted:
--- a/packages/damasktide/src/damasktide/gateway/tests/test_call.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_call.py
@@ -7,7 +7,7 @@
 
 from gevent import sleep, socket
 
-from damasktide.gateway.call import TargetCall
+from damasktide.gateway.call import MAX_BUFFERED_RESPONSE_BYTES, TargetCall
 from damasktide.gateway.tests.fake_target import PlainDialect, request_ids, response, target
 from damasktide.http1.errors import CallError, CallFailure
 from damasktide.http1.messages import RequestHead
@@ -16,6 +16,8 @@
 from damasktide.targets.target import TargetEntry, TargetState
 
 TIMEOUT_S = 5.0
+# What the sockets on both sides buffer, in addition to what the receiver has read.
+SOCKET_BUFFER_BYTES = 8 * 1024 * 1024
 
 
 def with_date(data: bytes) -> bytes:
@@ -119,6 +121,25 @@
             self.assertIs(raised.exception.failure, failure)
             call.close()
 
+    def test_late_copy_without_end_is_not_kept(self) -> None:
+        """Guards against a process that runs out of memory by the copies of a faulty target."""
+        sent: list[int] = []
+
+        def handle(sock: socket.socket, address: object) -> None:
+            for _ in request_ids(sock):
+                sock.sendall(b"HTTP/1.1 200 X\r\nId: other\r\n\r\n")
+                try:
+                    while True:
+                        sock.sendall(b"x" * 65_536)
+                        sent.append(65_536)
+                        sleep(0)
+                except OSError:
+                    # The call has closed the connection.
+                    return
+
+        self.assert_fails_at_once(handle, CallFailure.TOO_LARGE)
+        self.assertLess(sum(sent), MAX_BUFFERED_RESPONSE_BYTES + SOCKET_BUFFER_BYTES)
+
     def test_interrupted_wait_goes_on_after_a_late_copy(self) -> None:
         """A hedge interrupts the wait while the late copy is being skipped."""
 
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -228,14 +228,27 @@
             If the body is not complete by ``until``, a monotonic time in seconds, or with
             ``TOO_LARGE`` if it has more than ``max_bytes`` bytes.
         """
-        parts: list[bytes] = []
+        # A list of parts would take twenty times the bytes of a body in chunks of two bytes.
+        body = bytearray()
+        for data in self.read_body(until):
+            if len(body) + len(data) > max_bytes:
+                raise self._too_large(f"the body exceeds {max_bytes} bytes")
+            body += data
+        return bytes(body)
+
+    def skip_body(self, until: float, max_bytes: int) -> None:
+        """Read the body of the response and discard it.
+
+        Raises
+        ------
+        CallError
+            As :meth:`read_whole_body`.
+        """
         size = 0
         for data in self.read_body(until):
             size += len(data)
             if size > max_bytes:
                 raise self._too_large(f"the body exceeds {max_bytes} bytes")
-            parts.append(data)
-        return b"".join(parts)
 
     def exchange(
         self,
--- a/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
@@ -1,5 +1,6 @@
 """Peers that send without end: heads, trailers, chunk extensions and bodies are bounded."""
 
+import tracemalloc
 import unittest
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -11,7 +12,11 @@
 from damasktide.http1.caller_connection import CallerConnection, CallerLimits
 from damasktide.http1.errors import BadRequestError, CallError, CallFailure
 from damasktide.http1.messages import encode_request
-from damasktide.http1.server_connection import MAX_IDLE_INPUT_BYTES, ServerConnection
+from damasktide.http1.server_connection import (
+    MAX_IDLE_INPUT_BYTES,
+    RECEIVE_BYTES,
+    ServerConnection,
+)
 from damasktide.http1.tests.loopback_server import running_server
 
 REQUEST = encode_request(b"GET", b"/", ((b"Host", b"h"),), None)
@@ -101,6 +106,41 @@
             connection.close()
 
 
+class TestMemoryOfBodies(unittest.TestCase):
+    """What a server sends must not take many times its bytes, or be kept without a use."""
+
+    TINY_CHUNKS = b"2\r\nxy\r\n" * 50_000
+
+    def peak_bytes(self, call: Callable[[ServerConnection, float], object], data: bytes) -> int:
+        """Return the peak of the memory that is allocated while ``call`` reads ``data``."""
+        with endless_server(lambda: iter((data,))) as (address, _):
+            connection = ServerConnection(address)
+            connection.connect(TIMEOUT_S)
+            connection.send(REQUEST)
+            until = monotonic() + TIMEOUT_S
+            connection.read_head(b"GET", until)
+            tracemalloc.start()
+            try:
+                call(connection, until)
+                return tracemalloc.get_traced_memory()[1]
+            finally:
+                tracemalloc.stop()
+                connection.close()
+
+    def test_body_in_tiny_chunks(self) -> None:
+        """Guards against a body of 16 MiB that takes 360 MB because each chunk is an object."""
+        data = CHUNKED + self.TINY_CHUNKS + b"0\r\n\r\n"
+        peak = self.peak_bytes(ServerConnection.read_whole_body, data)
+        self.assertLess(peak, 2 * len(data))
+
+    def test_skipped_body_is_not_kept(self) -> None:
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n" + b"x" * 4_000_000
+        peak = self.peak_bytes(
+            lambda connection, until: connection.skip_body(until, 5_000_000), data
+        )
+        self.assertLess(peak, 16 * RECEIVE_BYTES)
+
+
 class TestEndlessRequests(unittest.TestCase):
     LIMITS = CallerLimits(header_bytes=4096, body_bytes=8192)
 
--- a/packages/damasktide/src/damasktide/keyspace/command_sender.py
+++ b/packages/damasktide/src/damasktide/keyspace/command_sender.py
@@ -24,6 +24,8 @@
 # Grants in flight at once. With one at a time, renewing more than six ranges of a target in
 # another region would take longer than the renewal interval.
 MAX_CONCURRENT_GRANTS = 4
+# Responses to commands have no body that is used.
+MAX_RESPONSE_BODY_BYTES = 64 * 1024
 
 
 class CommandCodec(Protocol):
@@ -162,7 +164,9 @@
 
     @staticmethod
     def _call(connection: ServerConnection, request: bytes, timeout_s: float) -> ResponseHead:
-        head, _ = connection.exchange(request, b"POST", monotonic() + timeout_s)
+        head, _ = connection.exchange(
+            request, b"POST", monotonic() + timeout_s, MAX_RESPONSE_BODY_BYTES
+        )
         return head
 
 
--- a/packages/damasktide/src/damasktide/keyspace/tests/test_command_sender.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_command_sender.py
@@ -16,6 +16,10 @@
 from damasktide.targets.target import TargetEntry, TargetState
 
 TIMEOUT_S = 5.0
+# A response to a command needs no body; this is what a call may read of one.
+MAX_KEPT_BYTES = 100_000
+# What the sockets on both sides buffer, in addition to what the receiver has read.
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 ACCEPTED = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n"
 FENCED = b"HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n"
 
@@ -51,7 +55,9 @@
             late_copy = response
 
 
-class TestLateCopies(unittest.TestCase):
+class CommandSenderCase(unittest.TestCase):
+    """Runs a sender against a target."""
+
     def setUp(self) -> None:
         self.target = StutteringTarget()
         self.ended: Queue = Queue()
@@ -75,6 +81,8 @@
         sleep(0.01)
         return ended.result
 
+
+class TestLateCopies(CommandSenderCase):
     def test_copy_of_the_response_to_a_grant_does_not_accept_the_next_one(self) -> None:
         """Guards against a barrier that counts as accepted before the target has executed it.
 
@@ -90,3 +98,35 @@
             for _ in range(4):
                 self.assertIs(self.result(sender, fence=1), CommandResult.ACCEPTED)
         self.assertLessEqual(self.target.connection_count, 2)
+
+
+class EndlessTarget(StutteringTarget):
+    """Accepts each grant with a body without end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sent_bytes = 0
+
+    def handle(self, sock: socket.socket, address: object) -> None:
+        sock.recv(65_536)
+        try:
+            sock.sendall(b"HTTP/1.1 200 X\r\n\r\n")
+            while True:
+                sock.sendall(b"x" * 65_536)
+                self.sent_bytes += 65_536
+                sleep(0)
+        except OSError:
+            # The sender has closed the connection.
+            return
+
+
+class TestEndlessResponses(CommandSenderCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.target = self.endless = EndlessTarget()
+
+    def test_body_without_end_ends_the_call(self) -> None:
+        """Guards against a leader that keeps the bodies of faulty targets, up to 16 MB each."""
+        with self.running_sender() as sender:
+            self.assertIs(self.result(sender, fence=1), CommandResult.FAILED)
+        self.assertLess(self.endless.sent_bytes, MAX_KEPT_BYTES + SOCKET_BUFFER_BYTES)
