Do not keep targets that left because a call to the store failed

What callers saw: requests at targets that had left (DRAIN). A target whose entry is removed without draining first was used for 2.2 s more by instances to which the store had seemed unavailable.

Cause: an instance keeps entries that vanish around an outage of the store, because entries of live targets lapse then. Any failed call counted as such an outage; even a call that was not made, because a call about another table had failed in the last 0.5 s. An instance cannot lose entries of live targets in an interruption shorter than two check-in intervals.

Change: a call that was not made is not reported as an outage, and entries are kept only if the last response before the return of the store was requested two check-in intervals ago or more. The interval comes from the settings; if it is not there, entries are kept as before.

Result: the test of a call that was not made failed before; those of the directory use its new argument.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -163,6 +163,7 @@
             self._targets_changed,
             self._store_unavailable,
             on_failure,
+            settings.check_in_interval_s,
         )
         self._assignment = AssignmentTask(
             record,
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -24,6 +24,7 @@
     HistoryLostError,
     RowStore,
     RowWrite,
+    StoreNotCalledError,
     StoreUnavailableError,
     TableState,
 )
@@ -222,9 +223,7 @@
         sources = self._exchange.sources
         if not sources.may_call_store(monotonic()):
             self._table_sources.record_failure(table)
-            raise StoreUnavailableError(
-                "the store failed recently; not calling it yet", is_certain=True
-            )
+            raise StoreNotCalledError
         self._is_interrupted = False
         requested_at = self._clock.now()
         self._table_sources.record_request(table, STORE, requested_at)
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -13,6 +13,7 @@
     HistoryLostError,
     Row,
     RowStore,
+    StoreNotCalledError,
     StoreUnavailableError,
     TableState,
 )
@@ -227,6 +228,10 @@
             )
             self._version = None
             return
+        except StoreNotCalledError:
+            # The next call finds out whether the store is available to this follower.
+            self._schedule_retry()
+            return
         except StoreUnavailableError as error:
             if self._is_full_read_requested:
                 # The call was interrupted in order to read the complete table.
@@ -297,6 +302,9 @@
             self._is_store_unavailable = True
             logger.bind(table=self._table, detail=detail).warning("store unavailable")
             self._on_availability_change(StoreUnavailable(self._table, detail))
+        self._schedule_retry()
+
+    def _schedule_retry(self) -> None:
         self._due_at = monotonic() + self._retry_s * self._random.uniform(0.5, 1.0)
         self._retry_s = min(MAX_RETRY_S, 2.0 * self._retry_s)
 
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -117,6 +117,16 @@
         self.is_certain = is_certain
 
 
+class StoreNotCalledError(StoreUnavailableError):
+    """The store was not called, because another call failed shortly before.
+
+    This does not show that the store is unavailable, since the other call may have failed alone.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("the store failed recently; not calling it yet", is_certain=True)
+
+
 class ConditionFailedError(Exception):
     """A conditional write whose condition did not hold; nothing was written."""
 
--- a/packages/damasktide/src/damasktide/rows/tests/test_follower.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_follower.py
@@ -11,9 +11,18 @@
     BUSY_POLL_SCHEDULE,
     MIN_GAP_S,
     PollSchedule,
+    StoreUnavailable,
     TableFollower,
 )
-from damasktide.rows.store import Changes, ExpectedRow, Row, RowWrite, TableState
+from damasktide.rows.store import (
+    Changes,
+    ExpectedRow,
+    Row,
+    RowWrite,
+    StoreNotCalledError,
+    StoreUnavailableError,
+    TableState,
+)
 
 RESPONSE_S = 0.2
 ROW = Row("t1", b"checked in", 2)
@@ -43,6 +52,38 @@
         raise AssertionError("a follower does not measure the round trip")
 
 
+class FailingStore(SlowStore):
+    """A store whose calls fail with ``error`` once the table has been read."""
+
+    error: StoreUnavailableError = StoreUnavailableError("down")
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        raise self.error
+
+
+class TestAvailability(unittest.TestCase):
+    def reported(self, error: StoreUnavailableError) -> list[type]:
+        store = FailingStore()
+        store.error = error
+        messages: list[object] = []
+        follower = TableFollower(
+            store, "reg", lambda message: None, on_availability_change=messages.append
+        )
+        follower.on_wake()
+        follower.on_wake()
+        due_at = follower.next_wake_at()
+        assert due_at is not None
+        self.assertGreater(due_at, monotonic())
+        return [type(message) for message in messages]
+
+    def test_failed_call_is_reported(self) -> None:
+        self.assertEqual(self.reported(StoreUnavailableError("down")), [StoreUnavailable])
+
+    def test_call_that_was_not_made_is_not_reported(self) -> None:
+        """Guards against an outage of all tables because a call about one of them failed."""
+        self.assertEqual(self.reported(StoreNotCalledError()), [])
+
+
 class TestPollScheduleOfASlowStore(unittest.TestCase):
     def setUp(self) -> None:
         self.store = SlowStore()
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -37,6 +37,8 @@
         Longest time in seconds for which keys may be granted.
     drain_s
         Seconds for which a target that announced its end still serves requests.
+    check_in_interval_s
+        Interval in seconds at which targets check in; 0 if it is not known.
     log_level
         Minimum level of log lines.
     """
@@ -53,4 +55,5 @@
     peer_listen: Address | None = None
     link_mbps: float = 0.0
     drain_s: float = 0.0
+    check_in_interval_s: float = 0.0
     log_level: str = "INFO"
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -19,9 +19,15 @@
 
     Versions are those of the store's rows, which only increase. An older row never replaces a
     newer one, so a delayed or stale response changes nothing.
+
+    Parameters
+    ----------
+    shortest_outage_s
+        Shortest outage of the store, in seconds, in which the entry of a live target can expire.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shortest_outage_s: float = 0.0) -> None:
+        self._shortest_outage_s = shortest_outage_s
         self._entry_by_id: dict[str, TargetEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
@@ -42,17 +48,28 @@
         """Record that the store does not respond."""
         self._is_store_unavailable = True
 
-    def record_store_available(self, now: float) -> None:
-        """Record that the store responds again after an outage.
+    def record_store_available(self, now: float, unconfirmed_s: float = float("inf")) -> None:
+        """Record that the store responds again.
 
         This outage does not extend the time for which entries missing since an earlier one are
         kept.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        unconfirmed_s
+            Seconds since the request of the last response before, which is at least the length of
+            the outage.
         """
         self._is_store_unavailable = False
-        self._store_available_at = now
+        kept_until = now
+        if unconfirmed_s >= self._shortest_outage_s:
+            self._store_available_at = now
+            kept_until = now + EXPIRED_ENTRY_GRACE_S
         for target_id, until in self._kept_until_by_id.items():
             if until is None:
-                self._kept_until_by_id[target_id] = now + EXPIRED_ENTRY_GRACE_S
+                self._kept_until_by_id[target_id] = kept_until
 
     def record_listed(self, now: float, version: int, entry: TargetEntry) -> bool:
         """Record a listed entry; return whether it changed anything besides the check-in.
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -24,6 +24,10 @@
 from damasktide.targets.target import TargetEntry, TargetView
 
 EXPIRY_INTERVAL_S = 0.25
+# An entry expires after three check-in intervals of silence, and up to one passes until the first
+# check-in that an outage prevents, so no entry of a live target expires in an outage of less than
+# two.
+SURVIVED_INTERVALS = 2.0
 
 
 class MalformedEntryError(ValueError):
@@ -65,6 +69,8 @@
         notices an outage first.
     on_failure
         See :class:`damasktide.runtime.task.Task`.
+    check_in_interval_s
+        Interval in seconds at which targets check in; 0 if it is not known.
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         on_change: Callable[[TargetView], None],
         on_store_unavailable: Callable[[], None],
         on_failure: Callable[[TaskFailed], None] | None = None,
+        check_in_interval_s: float = 0.0,
     ) -> None:
         super().__init__("targets", on_failure)
         self.view: Published[TargetView] = Published(TargetView())
@@ -85,7 +92,7 @@
         self._decode = decode
         self._on_change = on_change
         self._on_store_unavailable = on_store_unavailable
-        self._directory = TargetDirectory()
+        self._directory = TargetDirectory(SURVIVED_INTERVALS * check_in_interval_s)
         self._clock = LeaseClock()
         self._follower = TableFollower(
             store, table, self.tell, BUSY_POLL_SCHEDULE, self.tell, self._fingerprint
@@ -131,7 +138,9 @@
 
     @handles(StoreAvailable)
     def _store_available(self, message: StoreAvailable) -> None:
-        self._directory.record_store_available(monotonic())
+        # The message with the response follows, so this is the time of the last one before.
+        unconfirmed_s = self._clock.now() - self.confirmed_at.value
+        self._directory.record_store_available(monotonic(), unconfirmed_s)
 
     @handles(EvacuatedDomains)
     def _evacuated(self, message: EvacuatedDomains) -> None:
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -86,6 +86,30 @@
         )
         self.assertEqual(usable_ids(self.directory), [])
 
+    def test_entry_is_not_kept_after_an_interruption_in_which_none_can_expire(self) -> None:
+        """Guards against requests to a target that left while a connection to the store was lost.
+
+        Seen when the store discarded its history and cut the connections that waited for changes.
+        """
+        directory = TargetDirectory(shortest_outage_s=1.74)
+        directory.record_listed(0.0, 1, entry())
+        directory.record_listed(0.0, 2, entry("t2"))
+        directory.record_store_unavailable()
+        directory.record_unlisted(9.9, 3, "t2")
+        directory.record_store_available(10.0, unconfirmed_s=1.7)
+        directory.record_unlisted(10.1, 4, "t1")
+        self.assertEqual(directory.remove_expired(10.1), ("t2",))
+        self.assertEqual(usable_ids(directory), [])
+
+    def test_entry_is_kept_after_an_outage_in_which_it_can_expire(self) -> None:
+        """Guards against refusing requests because live targets could not check in."""
+        directory = TargetDirectory(shortest_outage_s=1.74)
+        directory.record_listed(0.0, 1, entry())
+        directory.record_store_unavailable()
+        directory.record_store_available(10.0, unconfirmed_s=1.8)
+        directory.record_unlisted(10.1, 2, "t1")
+        self.assertEqual(usable_ids(directory), ["t1"])
+
     def test_entry_that_is_listed_again_within_the_grace_period_is_kept(self) -> None:
         self.directory.record_store_unavailable()
         self.directory.record_store_available(10.0)
