Take an interruption for an outage of the store only if it met the sources too

What callers saw: requests at targets that had left (DRAIN), from single machines, at calm moments.

Cause: an instance that gets no response for two check-in intervals cannot tell an outage of the store from trouble of its own link or processor, and keeps unlisted targets for 2.2 s after it.

Change: a reply of another instance tells since when it, or its sources, have had the table without an interruption. If that reaches back to the instance's last response before the outage, there was none, and missing entries are removed at once. Without such a reply they are kept as before, so that a real outage costs no targets.

Why the link of that machine was full is not traced.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -55,6 +55,7 @@
 from damasktide.settings.gateway import GatewaySettings
 from damasktide.targets.target import TargetView
 from damasktide.targets.task import (
+    SURVIVED_INTERVALS,
     EvacuatedDomains,
     TargetDecoder,
     TargetLeaving,
@@ -134,7 +135,7 @@
         )
         on_failure = self._lifecycle.tell
         self._snapshots: dict[str, Published[TableSnapshot | None]] = {}
-        self._table_sources = TableSources()
+        self._table_sources = TableSources(SURVIVED_INTERVALS * settings.check_in_interval_s)
         self._relay_exchange: RelayExchange | None = None
         self._load_exchange: LoadExchange | None = None
         self._demand_exchange: DemandExchange | None = None
@@ -164,6 +165,7 @@
             self._store_unavailable,
             on_failure,
             settings.check_in_interval_s,
+            lambda: self._table_sources.uninterrupted_since(adapter.target_table),
         )
         self._assignment = AssignmentTask(
             record,
--- a/packages/damasktide/src/damasktide/relay/codec.py
+++ b/packages/damasktide/src/damasktide/relay/codec.py
@@ -91,6 +91,7 @@
     changes.version = reply.version
     changes.ageS = reply.age_s
     changes.confirmation = reply.confirmation
+    changes.uninterruptedS = reply.uninterrupted_s
     rows = changes.init("rows", len(reply.rows))
     for builder, row in zip(rows, reply.rows, strict=True):
         builder.key = row.key
@@ -109,7 +110,12 @@
     )
     age_s_by_table = {confirmation.table: confirmation.ageS for confirmation in changes.confirmed}
     return RelayedChanges(
-        rows, changes.version, changes.ageS, age_s_by_table, changes.confirmation
+        rows,
+        changes.version,
+        changes.ageS,
+        age_s_by_table,
+        changes.confirmation,
+        changes.uninterruptedS,
     )
 
 
--- a/packages/damasktide/src/damasktide/relay/messages.capnp
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -27,6 +27,7 @@
   # Of each table that the sender has read.
   confirmation @4 :Float64;
   # On the sender's clock; the receiver only returns it.
+  uninterruptedS @5 :Float64 = -inf;
 }
 
 struct Confirmation {
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -56,6 +56,9 @@
     confirmation
         Time on the sender's clock, in seconds, at which the latest reply that the sender has
         about the table was requested from the store.
+    uninterrupted_s
+        Time in seconds, before the arrival of the request, since which the sender or its sources
+        have had the table without an interruption; negative infinity if that is not known.
     """
 
     rows: tuple[Row, ...]
@@ -63,6 +66,7 @@
     age_s: float
     age_s_by_table: Mapping[str, float] = field(default_factory=dict)
     confirmation: float = 0.0
+    uninterrupted_s: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -283,6 +283,7 @@
             requested_at,
             requested_at - reply.age_s,
             {table: requested_at - age_s for table, age_s in reply.age_s_by_table.items()},
+            requested_at - reply.uninterrupted_s,
         )
         self._known_confirmation = (source.peer.name, reply.confirmation)
         self._exchange.sources.record_peer_reply(source.peer.name)
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -93,6 +93,7 @@
                         for table, at in self._table_sources.confirmed_at_by_table().items()
                     },
                     snapshot.requested_at,
+                    arrived_at - self._table_sources.uninterrupted_since(request.table),
                 )
             # The wait ends once the snapshot is stale, so that the requester does not depend on an
             # instance that has lost contact with the store itself.
--- a/packages/damasktide/src/damasktide/relay/table_sources.py
+++ b/packages/damasktide/src/damasktide/relay/table_sources.py
@@ -23,11 +23,18 @@
     table whose changes are not being requested from its source.
 
     Times are seconds on the lease clock.
+
+    Parameters
+    ----------
+    interruption_s
+        Seconds without a confirmation after which a table counts as interrupted.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, interruption_s: float = 0.0) -> None:
+        self._interruption_s = interruption_s
         self._pending_by_table: dict[str, _PendingCall] = {}
         self._confirmed_at_by_table: dict[str, float] = {}
+        self._uninterrupted_since_by_table: dict[str, float] = {}
 
     def record_request(self, table: str, source: str, requested_at: float) -> None:
         """Record that a call requests the changes of ``table`` from ``source``."""
@@ -53,6 +60,7 @@
         requested_at: float,
         confirmed_at: float,
         confirmed_at_by_table: Mapping[str, float],
+        uninterrupted_since: float = float("inf"),
     ) -> None:
         """Record a reply of another instance with the rows or changes of ``table``.
 
@@ -68,10 +76,15 @@
             Time up to which the reply has all changes of ``table``.
         confirmed_at_by_table
             Time up to which the instance knew the changes of each table when it replied.
+        uninterrupted_since
+            Time since which the instance has had ``table`` without an interruption.
         """
         waiting = self._waiting_tables(source, requested_at)
         confirmed = {other: at for other, at in confirmed_at_by_table.items() if other in waiting}
         self._record_reply(table, confirmed_at, confirmed)
+        self._uninterrupted_since_by_table[table] = min(
+            uninterrupted_since, self.uninterrupted_since(table)
+        )
 
     def record_failure(self, table: str) -> None:
         """Record that the source of ``table`` refused or did not reply."""
@@ -84,6 +97,13 @@
         """
         return self._confirmed_at_by_table.get(table, float("-inf"))
 
+    def uninterrupted_since(self, table: str) -> float:
+        """Return the time since which the store has served ``table``, here or to the sources.
+
+        The result is infinity if the table has not been read.
+        """
+        return self._uninterrupted_since_by_table.get(table, float("inf"))
+
     def confirmed_at_by_table(self) -> Mapping[str, float]:
         """Return :meth:`confirmed_at` of all tables that have been read."""
         return dict(self._confirmed_at_by_table)
@@ -101,4 +121,7 @@
     ) -> None:
         self._pending_by_table.pop(table, None)
         for other, at in {**confirmed_at_by_table, table: confirmed_at}.items():
-            self._confirmed_at_by_table[other] = max(at, self.confirmed_at(other))
+            known_at = self.confirmed_at(other)
+            if at >= known_at + self._interruption_s:
+                self._uninterrupted_since_by_table[other] = at
+            self._confirmed_at_by_table[other] = max(at, known_at)
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -288,6 +288,22 @@
         self.sources.record_store_reply(BUSY_TABLE, 12.0)
         self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
 
+    def test_interruption_is_a_time_without_confirmation(self) -> None:
+        sources = TableSources(interruption_s=2.0)
+        self.assertEqual(sources.uninterrupted_since(TABLE), float("inf"))
+        for requested_at, since in ((10.0, 10.0), (11.5, 10.0), (13.5, 13.5), (14.0, 13.5)):
+            sources.record_store_reply(TABLE, requested_at)
+            self.assertEqual(sources.uninterrupted_since(TABLE), since)
+
+    def test_interruption_of_one_instance_is_none_if_its_source_had_none(self) -> None:
+        """Guards against taking the full link of one machine for an outage of the store."""
+        sources = TableSources(interruption_s=2.0)
+        sources.record_store_reply(TABLE, 10.0)
+        sources.record_peer_reply(TABLE, self.PEER, 20.0, 20.0, {}, uninterrupted_since=4.0)
+        self.assertEqual(sources.uninterrupted_since(TABLE), 4.0)
+        sources.record_peer_reply(TABLE, self.PEER, 30.0, 30.0, {}, uninterrupted_since=28.0)
+        self.assertEqual(sources.uninterrupted_since(TABLE), 28.0)
+
     def test_older_confirmation_changes_nothing(self) -> None:
         """Guards against a table that looks older after a change of its source."""
         self.sources.record_request(TABLE, self.PEER, 10.5)
@@ -501,7 +517,7 @@
             self.assertEqual(decode_changes_request(encode_changes_request(request)), request)
         rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
         ages = {TABLE: 0.25, BUSY_TABLE: -0.5}
-        for reply in (RelayedChanges(rows, 9, 0.25, ages, 17.5), ChangesRefused("why")):
+        for reply in (RelayedChanges(rows, 9, 0.25, ages, 17.5, 60.0), ChangesRefused("why")):
             self.assertEqual(decode_changes_reply(encode_changes_reply(reply)), reply)
         self.assertLess(len(encode_changes_reply(RelayedChanges(rows, 9, 0.25))), 10_000)
 
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -71,6 +71,15 @@
             if until is None:
                 self._kept_until_by_id[target_id] = kept_until
 
+    def record_no_outage(self, now: float) -> None:
+        """Record that the store was available to others while it was not to this instance.
+
+        No entry of a live target has expired then, so missing ones are not kept.
+        """
+        self._store_available_at = float("-inf")
+        for target_id in self._kept_until_by_id:
+            self._kept_until_by_id[target_id] = now
+
     def record_listed(self, now: float, version: int, entry: TargetEntry) -> bool:
         """Record a listed entry; return whether it changed anything besides the check-in.
 
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -71,6 +71,9 @@
         See :class:`damasktide.runtime.task.Task`.
     check_in_interval_s
         Interval in seconds at which targets check in; 0 if it is not known.
+    uninterrupted_since
+        Returns the time on the lease clock since which the store has served the table to this
+        instance or to its sources.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         on_store_unavailable: Callable[[], None],
         on_failure: Callable[[TaskFailed], None] | None = None,
         check_in_interval_s: float = 0.0,
+        uninterrupted_since: Callable[[], float] = lambda: float("inf"),
     ) -> None:
         super().__init__("targets", on_failure)
         self.view: Published[TargetView] = Published(TargetView())
@@ -94,6 +98,9 @@
         self._on_store_unavailable = on_store_unavailable
         self._directory = TargetDirectory(SURVIVED_INTERVALS * check_in_interval_s)
         self._clock = LeaseClock()
+        self._uninterrupted_since = uninterrupted_since
+        # Time of the last confirmation before the latest outage.
+        self._unconfirmed_since = float("-inf")
         self._follower = TableFollower(
             store, table, self.tell, BUSY_POLL_SCHEDULE, self.tell, self._fingerprint
         )
@@ -116,6 +123,7 @@
     @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
+        self._check_outage()
         self._apply_rows(message)
         listed_ids = frozenset(row.key for row in state.rows)
         for target_id in self._directory.reconcile(monotonic(), state.version, listed_ids):
@@ -126,6 +134,7 @@
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
+        self._check_outage()
         self._apply_rows(message)
         self.confirmed_at.publish(message.requested_at)
         self._publish()
@@ -139,7 +148,8 @@
     @handles(StoreAvailable)
     def _store_available(self, message: StoreAvailable) -> None:
         # The message with the response follows, so this is the time of the last one before.
-        unconfirmed_s = self._clock.now() - self.confirmed_at.value
+        self._unconfirmed_since = self.confirmed_at.value
+        unconfirmed_s = self._clock.now() - self._unconfirmed_since
         self._directory.record_store_available(monotonic(), unconfirmed_s)
 
     @handles(EvacuatedDomains)
@@ -155,6 +165,13 @@
             logger.bind(target=target_id, life=started_at_ms).info("target announced its end")
         self._publish()
 
+    def _check_outage(self) -> None:
+        """End the grace period after an outage if the store has served other instances in it."""
+        if self._uninterrupted_since() <= self._unconfirmed_since:
+            logger.info("the store was unavailable to this instance only")
+            self._unconfirmed_since = float("-inf")
+            self._directory.record_no_outage(monotonic())
+
     def _apply_rows(self, message: FollowerMessage) -> None:
         now = monotonic()
         for row in message.rows:
