Count the lease of a late leader from the oldest row that the relay can return

Found while looking for other bounds that leave out the levels of the relay. A leader whose write got no response counts its renewals from the age that the row may have when it reads it, assumed to be 1.5 s at most. Rows are relayed up to 1.8 s old, and 2.2 s before the bound was shared, plus the margin of a reply, so such a leader could renew grants up to 1.2 s longer than its successor waits.

Change: the bound is 3 s, so such a leader ends its renewals earlier.

--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -20,8 +20,8 @@
 # A leader that resigned renews grants for this long. A successor takes over within two polls of
 # the row, its jitter, and a read of the maps.
 RESIGNED_RENEWAL_S = 1.5
-# Upper bound on the age of a row when its read completes.
-MAX_READ_AGE_S = 1.5
+# Upper bound on the age of a row when its read completes, also if other instances relay it.
+MAX_READ_AGE_S = 3.0
 # Upper bound on the difference in rate between two clocks.
 CLOCK_RATE_ERROR = 0.01
 
--- a/packages/damasktide/src/damasktide/relay/tests/test_tree.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_tree.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import ClassVar
 
+from damasktide.keyspace.leadership import MAX_READ_AGE_S
 from damasktide.relay.sources import (
     IMMEDIATE_FALLBACK_INSTANCES,
     MAX_AGE_S,
@@ -11,7 +12,7 @@
     ROOT_STORE_RETRY_S,
     RelaySourceSelector,
 )
-from damasktide.relay.tree import FAN_OUT, RelayPeer, parent, relay_order, upstream
+from damasktide.relay.tree import FAN_OUT, RelayPeer, Upstream, parent, relay_order, upstream
 
 # Time within which a new configuration or a leaving target must be known.
 KNOWN_WITHIN_S = 2.5
@@ -184,3 +185,18 @@
         source = leaf.source(0.0)
         assert source is not None
         self.assertGreater(source.max_age_s, MAX_AGE_S)
+
+    def test_relayed_row_is_no_older_than_leaders_assume(self) -> None:
+        """Guards against a leader that renews grants longer than its successor waits.
+
+        A leader whose write got no response counts its lease from the oldest time at which the
+        row that it reads can have been written.
+        """
+        near = tuple(RelayPeer(f"n{n}", ("10.1.0.1", n), 100.0) for n in range(2))
+        order = relay_order(peers(60))
+        for name in (order[0].name, order[59].name):
+            selector = RelaySourceSelector(name)
+            selector.set_order(order, Upstream(near, frozenset(), 2))
+            source = selector.source(0.0)
+            assert source is not None
+            self.assertLessEqual(source.max_age_s + source.reply_margin_s, MAX_READ_AGE_S)
