Send the complete table to an instance that is further behind than the known changes

Cause: an instance that no longer knows the changes asked for refused the request. The requester asked its fallback, retried for 0.4 s, called the store, learned there that the history is gone, and read the complete table: up to a second for each level of the relay.

Change: the reply is the complete table, and ends a wait. The requester treats it as a complete read, which its own readers then get in the same way. A request of the previous code is refused as before.

--- a/packages/damasktide/src/damasktide/relay/codec.py
+++ b/packages/damasktide/src/damasktide/relay/codec.py
@@ -34,6 +34,7 @@
         maxAgeS=request.max_age_s,
         isWhole=request.is_full_read,
         knownConfirmation=request.known_confirmation,
+        acceptsComplete=request.accepts_complete,
     )
     return bytes(message.to_bytes())
 
@@ -55,6 +56,7 @@
                 message.maxAgeS,
                 message.isWhole,
                 message.knownConfirmation,
+                message.acceptsComplete,
             )
     except (capnp.KjException, ValueError) as error:
         raise MalformedChangesError(str(error)) from error
@@ -92,6 +94,7 @@
     changes.ageS = reply.age_s
     changes.confirmation = reply.confirmation
     changes.uninterruptedS = reply.uninterrupted_s
+    changes.isComplete = reply.is_complete
     rows = changes.init("rows", len(reply.rows))
     for builder, row in zip(rows, reply.rows, strict=True):
         builder.key = row.key
@@ -116,6 +119,7 @@
         age_s_by_table,
         changes.confirmation,
         changes.uninterruptedS,
+        changes.isComplete,
     )
 
 
--- a/packages/damasktide/src/damasktide/relay/messages.capnp
+++ b/packages/damasktide/src/damasktide/relay/messages.capnp
@@ -9,6 +9,7 @@
   isWhole @4 :Bool;
   knownConfirmation @5 :Float64 = inf;
   # A newer confirmation ends the wait; processes that do not send it wait for changes only.
+  acceptsComplete @6 :Bool;
 }
 
 struct News {
@@ -28,6 +29,7 @@
   confirmation @4 :Float64;
   # On the sender's clock; the receiver only returns it.
   uninterruptedS @5 :Float64 = -inf;
+  isComplete @6 :Bool;
 }
 
 struct Confirmation {
--- a/packages/damasktide/src/damasktide/relay/messages.py
+++ b/packages/damasktide/src/damasktide/relay/messages.py
@@ -28,6 +28,9 @@
     known_confirmation
         Confirmation that the requester already has of this sender. A newer one ends the wait, so
         that the age of the data does not grow by a wait at each level of the relay.
+    accepts_complete
+        Whether the requester accepts the complete table if it is further behind than the known
+        changes; it is refused otherwise.
     """
 
     table: str
@@ -36,6 +39,7 @@
     max_age_s: float
     is_full_read: bool = False
     known_confirmation: float = float("inf")
+    accepts_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,7 @@
     Attributes
     ----------
     rows
-        Changed rows, in the order of change.
+        Changed rows, in the order of change, or all rows if ``is_complete``.
     version
         Version of the store up to which the rows are complete.
     age_s
@@ -59,6 +63,8 @@
     uninterrupted_s
         Time in seconds, before the arrival of the request, since which the sender or its sources
         have had the table without an interruption; negative infinity if that is not known.
+    is_complete
+        Whether the rows are the complete table; rows that it lacks do not exist.
     """
 
     rows: tuple[Row, ...]
@@ -67,6 +73,7 @@
     age_s_by_table: Mapping[str, float] = field(default_factory=dict)
     confirmation: float = 0.0
     uninterrupted_s: float = float("-inf")
+    is_complete: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -103,16 +103,12 @@
         self._is_interrupted = False
         # Whether an instance asked during the current call did not know changes that old.
         self._are_changes_forgotten = False
-        # Whether the store has lost the changes, and another instance has read the table since.
-        self._has_source_reread = False
 
     def read_table(self, table: str) -> TableState:
         """See :meth:`damasktide.rows.store.RowStore.read_table`."""
         reads_from_peer, self._reads_from_peer = self._reads_from_peer, False
         if reads_from_peer and (state := self._table_from_peer(table)) is not None:
             return state
-        if self._has_source_reread and (state := self._table_from_source(table)) is not None:
-            return state
         try:
             return self._call_store(table, lambda: self._store.read_table(table))
         except StoreUnavailableError:
@@ -169,13 +165,6 @@
             gevent.sleep(SOURCE_RETRY_INTERVAL_S)
         return None
 
-    def _table_from_source(self, table: str) -> TableState | None:
-        """Read the table once from the source, if the instance is one that spares the store."""
-        self._has_source_reread = False
-        sources = self._exchange.sources
-        source = sources.source(monotonic()) if sources.reads_from_peers else None
-        return self._table_from(source, table) if source is not None else None
-
     def _table_from_reachable_peer(self, table: str) -> TableState | None:
         """Read the table from the first instance that has it while the store is unavailable."""
         sources = self._exchange.sources
@@ -247,7 +236,6 @@
             raise
         except HistoryLostError:
             self._table_sources.record_failure(table)
-            self._has_source_reread = self._are_changes_forgotten
             raise
         self._table_sources.record_store_reply(table, requested_at)
         sources.record_store_response()
@@ -263,11 +251,12 @@
             min(wait_s, MAX_RELAY_WAIT_S),
             source.max_age_s,
             known_confirmation=confirmation if name == source.peer.name else float("-inf"),
+            accepts_complete=True,
         )
         reply = self._request_from(source, request)
         if reply is None:
             return None
-        return Changes(reply.rows, reply.version, reply.age_s, source.peer.name)
+        return Changes(reply.rows, reply.version, reply.age_s, source.peer.name, reply.is_complete)
 
     def _request_from(self, source: RelaySource, request: ChangesRequest) -> RelayedChanges | None:
         requested_at = self._clock.now()
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -77,11 +77,13 @@
             if now > fresh_until:
                 return ChangesRefused("no fresh answer of the store")
             # Checked after the freshness, so that the requester can read the complete table here.
-            if not request.is_full_read and request.after < snapshot.complete_since:
+            is_behind = not request.is_full_read and request.after < snapshot.complete_since
+            if is_behind and not request.accepts_complete:
                 return ChangesRefused(CHANGES_FORGOTTEN)
-            rows = snapshot.rows if request.is_full_read else snapshot.rows_after(request.after)
+            is_complete = is_behind or request.is_full_read
+            rows = snapshot.rows if is_complete else snapshot.rows_after(request.after)
             is_newer = snapshot.requested_at > request.known_confirmation
-            if rows or is_newer or now >= until or request.is_full_read:
+            if rows or is_newer or now >= until or is_complete:
                 # Relative to the arrival, because the requester counts from the time at which it
                 # sent the request.
                 return RelayedChanges(
@@ -94,6 +96,7 @@
                     },
                     snapshot.requested_at,
                     arrived_at - self._table_sources.uninterrupted_since(request.table),
+                    is_complete,
                 )
             # The wait ends once the snapshot is stale, so that the requester does not depend on an
             # instance that has lost contact with the store itself.
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -468,6 +468,30 @@
         self.assertIsInstance(self.request(2), ChangesRefused)
         self.assertIsInstance(self.request(6, table="unknown"), ChangesRefused)
 
+    def test_requester_that_is_behind_gets_the_complete_table(self) -> None:
+        """Guards against a read of the store by each instance below one that has started anew.
+
+        Each level took up to a second more after the store had lost its history.
+        """
+        request = ChangesRequest(TABLE, 2, 5.0, MAX_AGE_S, accepts_complete=True)
+        result = self.server.reply_to(request)
+        assert isinstance(result, RelayedChanges)
+        self.assertEqual((result.is_complete, result.version), (True, 6))
+        self.assertEqual([row.value for row in result.rows], [b"old"])
+
+    def test_lost_history_ends_the_wait_of_a_request(self) -> None:
+        """Guards against readers that wait at an instance which has read the table anew."""
+        request = ChangesRequest(TABLE, 6, 5.0, MAX_AGE_S, accepts_complete=True)
+        waiting = gevent.spawn(self.server.reply_to, request)
+        gevent.sleep(0)
+        known = self.table.value
+        assert known is not None
+        state = TableState((Row("config", b"hidden", 5),), 8)
+        self.table.publish(known.reread(state, 100.0, value_fingerprint, is_history_lost=True))
+        result = waiting.get(timeout=3.0)
+        self.assertEqual([row.value for row in result.rows], [b"hidden"])
+        self.assertTrue(result.is_complete)
+
     def test_full_read_returns_all_rows_of_a_fresh_table(self) -> None:
         """Guards against refusing a requester without a version, and returning a stale table."""
         request = ChangesRequest(TABLE, 0, 0.0, MAX_AGE_S, is_full_read=True)
@@ -512,12 +536,15 @@
     def test_encoding_preserves_all_fields(self) -> None:
         for request in (
             ChangesRequest(TABLE, 7, 0.5, 1.2),
-            ChangesRequest(TABLE, 0, 0.0, 1.2, True, 3.5),
+            ChangesRequest(TABLE, 0, 0.0, 1.2, True, 3.5, True),
         ):
             self.assertEqual(decode_changes_request(encode_changes_request(request)), request)
         rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
         ages = {TABLE: 0.25, BUSY_TABLE: -0.5}
-        for reply in (RelayedChanges(rows, 9, 0.25, ages, 17.5, 60.0), ChangesRefused("why")):
+        for reply in (
+            RelayedChanges(rows, 9, 0.25, ages, 17.5, 60.0, True),
+            ChangesRefused("why"),
+        ):
             self.assertEqual(decode_changes_reply(encode_changes_reply(reply)), reply)
         self.assertLess(len(encode_changes_reply(RelayedChanges(rows, 9, 0.25))), 10_000)
 
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -255,6 +255,15 @@
         started_at = monotonic()
         wait_s = self._wait_s()
         changes = self._store.wait_for_changes(self._table, self._version, wait_s)
+        if changes.is_complete:
+            logger.bind(table=self._table, source=changes.relayed_by).info(
+                "the changes are no longer known; got the complete table"
+            )
+            self._is_history_lost = True
+            state = TableState(
+                changes.rows, changes.version, changes.relayed_age_s, changes.relayed_by
+            )
+            return self._table_read(state, requested_at, started_at)
         # None if request_full_read was called during the call.
         if self._version is not None:
             self._version = max(self._version, changes.version)
@@ -271,9 +280,16 @@
 
     def _read(self, requested_at: float) -> FollowerMessage:
         started_at = monotonic()
-        state = self._store.read_table(self._table)
+        return self._table_read(self._store.read_table(self._table), requested_at, started_at)
+
+    def _table_read(
+        self, state: TableState, requested_at: float, started_at: float
+    ) -> FollowerMessage:
         self._version = state.version
-        self._due_at = self._due_after_call(started_at)
+        if state.relayed_age_s is None:
+            self._due_at = self._due_after_call(started_at)
+        else:
+            self._due_at = monotonic() + self._poll_schedule.relayed_gap_s
         requested_at -= state.relayed_age_s or 0.0
         known = self.snapshot.value
         if known is None:
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -93,12 +93,15 @@
         it was requested during the call; None if the store itself responded.
     relayed_by
         Name of the instance that relayed the response; empty if the store itself responded.
+    is_complete
+        Whether the rows are the complete table, because earlier changes are not known.
     """
 
     rows: tuple[Row, ...]
     version: int
     relayed_age_s: float | None = None
     relayed_by: str = ""
+    is_complete: bool = False
 
 
 class StoreUnavailableError(Exception):
--- a/packages/damasktide/src/damasktide/rows/tests/test_follower.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_follower.py
@@ -10,9 +10,11 @@
 from damasktide.rows.follower import (
     BUSY_POLL_SCHEDULE,
     MIN_GAP_S,
+    FollowerMessage,
     PollSchedule,
     StoreUnavailable,
     TableFollower,
+    TableRead,
 )
 from damasktide.rows.store import (
     Changes,
@@ -61,6 +63,30 @@
         raise self.error
 
 
+class CompleteStore(SlowStore):
+    """Answers a call for changes with the complete table, as another instance does."""
+
+    def read_table(self, table: str) -> TableState:
+        return TableState((ROW, Row("t2", b"", 3)), 3)
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        return Changes((ROW,), 9, 0.1, "peer", is_complete=True)
+
+
+class TestCompleteTable(unittest.TestCase):
+    def test_complete_table_replaces_the_known_one(self) -> None:
+        """Guards against a target that left while changes were not known."""
+        messages: list[FollowerMessage] = []
+        follower = TableFollower(CompleteStore(), "reg", messages.append)
+        follower.on_wake()
+        follower.on_wake()
+        self.assertIsInstance(messages[-1], TableRead)
+        snapshot = follower.snapshot.value
+        assert snapshot is not None
+        self.assertEqual([row.key for row in snapshot.rows], ["t1"])
+        self.assertEqual((snapshot.version, snapshot.complete_since), (9, 9))
+
+
 class TestAvailability(unittest.TestCase):
     def reported(self, error: StoreUnavailableError) -> list[type]:
         store = FailingStore()
