--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -190,9 +190,10 @@
         refused_at: float | None = None
         while (source := sources.source(monotonic())) is not None:
             self._exchange.follow(source)
-            changes = self._changes_from(
-                *self._limited_call(source, table, wait_s if refused_at is None else 0.0), after
+            call_source, call_wait_s = self._limited_call(
+                source, table, wait_s if refused_at is None else 0.0
             )
+            changes = self._changes_from(call_source, table, after, call_wait_s)
             changes = changes or self._changes_from_fallback(table, after)
             if changes is not None or not sources.may_retry_sources(monotonic()):
                 return changes
@@ -204,19 +205,22 @@
 
     def _changes_from_fallback(self, table: str, after: int) -> Changes | None:
         source = self._exchange.sources.fallback_source(monotonic())
-        return self._changes_from(source, table, 0.0, after) if source is not None else None
+        return self._changes_from(source, table, after, 0.0) if source is not None else None
 
     def _limited_call(
         self, source: RelaySource, table: str, wait_s: float
-    ) -> tuple[RelaySource, str, float]:
-        """Return the source, the table and the wait of a call that ends before the data is old."""
+    ) -> tuple[RelaySource, float]:
+        """Return the source, with its margin, and the wait of a call that ends in time.
+
+        Calls that watch over the source end when the data reaches the maximum age.
+        """
         confirmed_at = self._table_sources.confirmed_at(table)
         if not self._watches_source or wait_s <= 0.0 or isinf(confirmed_at):
-            return source, table, wait_s
+            return source, wait_s
         left_s = max(MIN_REPLY_S, confirmed_at + source.max_age_s - self._clock.now())
         wait_s = min(WATCH_WAIT_S, left_s)
         margin_s = min(source.reply_margin_s, max(MIN_REPLY_S, left_s - wait_s))
-        return replace(source, reply_margin_s=margin_s), table, wait_s
+        return replace(source, reply_margin_s=margin_s), wait_s
 
     def _call_store(self, table: str, call: Callable[[], T]) -> T:
         """Call the store about ``table`` and record whether it responded."""
@@ -242,7 +246,7 @@
         return result
 
     def _changes_from(
-        self, source: RelaySource, table: str, wait_s: float, after: int
+        self, source: RelaySource, table: str, after: int, wait_s: float
     ) -> Changes | None:
         name, confirmation = self._known_confirmation
         request = ChangesRequest(
