Test that messages of the relay without the new fields are read

The claim that instances of the previous version and of this one understand each other rests on the defaults of the schema; now a test shows it.

--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -1,6 +1,7 @@
 """Changes relayed by another instance: staleness, outages and lost peers, without a network."""
 
 import unittest
+import zlib
 from collections.abc import Sequence
 from dataclasses import replace
 from time import monotonic
@@ -8,6 +9,7 @@
 import gevent
 
 from damasktide.relay.codec import (
+    _SCHEMA,
     MalformedChangesError,
     decode_changes_reply,
     decode_changes_request,
@@ -548,6 +550,18 @@
             self.assertEqual(decode_changes_reply(encode_changes_reply(reply)), reply)
         self.assertLess(len(encode_changes_reply(RelayedChanges(rows, 9, 0.25))), 10_000)
 
+    def test_messages_of_the_previous_version_are_read(self) -> None:
+        """Guards against a rolling upgrade in which instances refuse each other's messages."""
+        request = _SCHEMA.NewsWanted.new_message(table=TABLE, after=7, waitS=0.5, maxAgeS=1.2)
+        self.assertEqual(
+            decode_changes_request(request.to_bytes()), ChangesRequest(TABLE, 7, 0.5, 1.2)
+        )
+        reply = _SCHEMA.News.new_message()
+        reply.init("changes").version = 9
+        self.assertEqual(
+            decode_changes_reply(zlib.compress(reply.to_bytes())), RelayedChanges((), 9, 0.0)
+        )
+
     def test_malformed_messages_are_rejected(self) -> None:
         complete = encode_changes_reply(ChangesRefused("why"))
         for data in (b"", b"junk", complete[:-3]):
