Wake the simulated store's waiting calls once when their connections are cut

The event stayed set until the next write, so a call that began meanwhile would have looped without letting the virtual time advance.

--- a/packages/damasktide/src/damasktide/relay/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/relay/tests/simulation.py
@@ -100,8 +100,7 @@
     def put(self, table: str, key: str, value: bytes) -> None:
         self.version += 1
         self._row_by_key_by_table[table][key] = Row(key, value, self.version)
-        changed, self._changed = self._changed, self._event_type()
-        changed.set()
+        self._wake_waiting_calls()
 
     def rows(self, table: str, after: int = 0) -> tuple[Row, ...]:
         rows = self._row_by_key_by_table[table].values()
@@ -118,10 +117,14 @@
         def cut() -> None:
             self.cut_count += 1
             self.forgotten_version = self.version
-            self._changed.set()
+            self._wake_waiting_calls()
 
         self._time.schedule(muted_s, cut)
 
+    def _wake_waiting_calls(self) -> None:
+        changed, self._changed = self._changed, self._event_type()
+        changed.set()
+
 
 class StoreClient:
     """Client of one follower; a call to an unreachable store ends with its time limit."""
