--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -241,7 +241,8 @@
         except HistoryLostError:
             self._table_sources.record_failure(table)
             raise
-        self._table_sources.record_store_reply(table, requested_at)
+        waited_s = result.waited_s if isinstance(result, Changes) else 0.0
+        self._table_sources.record_store_reply(table, requested_at, waited_s)
         sources.record_store_response()
         return result
 
--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -16,7 +16,7 @@
 NON_ROOT_STORE_RETRY_S = 0.5
 # Maximum age of the store's last response for it to be relayed. Targets that leave and new
 # configurations must be known within 2.5 s, and a switch to another source takes up to 0.8 s.
-MAX_AGE_S = 1.2
+MAX_AGE_S = 1.5
 # Number of instances after the root in tree order that call the store as soon as the root has
 # nothing fresh. In a larger failure domain the others wait for these, because sending the same
 # responses to every instance would saturate the link between the regions.
@@ -26,7 +26,7 @@
 MAX_AGE_INCREASE_PER_LEVEL_S = 0.1
 # Increase of the maximum age in a region far from the store, whose link to the other region may be
 # full of long responses.
-MAX_AGE_INCREASE_FAR_S = 0.4
+MAX_AGE_INCREASE_FAR_S = 0.1
 # Time allowed for a reply in addition to the requested wait, and for one from another region.
 REPLY_MARGIN_S = 0.35
 CROSS_REGION_REPLY_MARGIN_S = 1.0
--- a/packages/damasktide/src/damasktide/relay/table_sources.py
+++ b/packages/damasktide/src/damasktide/relay/table_sources.py
@@ -18,7 +18,8 @@
 
     A follower may wait for seconds until a quiet table changes. Replies of the same source about
     other tables show meanwhile that it would have reported a change. That holds for the store,
-    which knows all changes, up to the time at which such a reply was requested. Another instance
+    which knows all changes, up to the time at which such a reply was requested, and for as long
+    as it waited without a change. Another instance
     states for each table up to when it knows the changes itself. A reply shows nothing about a
     table whose changes are not being requested from its source.
 
@@ -40,7 +41,7 @@
         """Record that a call requests the changes of ``table`` from ``source``."""
         self._pending_by_table[table] = _PendingCall(source, requested_at)
 
-    def record_store_reply(self, table: str, requested_at: float) -> None:
+    def record_store_reply(self, table: str, requested_at: float, waited_s: float = 0.0) -> None:
         """Record a reply of the store with the rows or changes of ``table``.
 
         Parameters
@@ -49,9 +50,12 @@
             Name of the table.
         requested_at
             Time at which the reply was requested.
+        waited_s
+            Time for which the store has waited without a change, in seconds.
         """
         waiting = self._waiting_tables(STORE, requested_at)
-        self._record_reply(table, requested_at, dict.fromkeys(waiting, requested_at))
+        confirmed_at = requested_at + waited_s
+        self._record_reply(table, confirmed_at, dict.fromkeys(waiting, confirmed_at))
 
     def record_peer_reply(
         self,
--- a/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
@@ -108,6 +108,20 @@
     def test_no_fault(self) -> None:
         self.check("none")
 
+    def test_only_the_roots_near_the_store_call_it(self) -> None:
+        """Guards against calls of every instance because quiet tables look old.
+
+        Each call is billed. The targets change so rarely that the store answers most calls at the
+        end of their wait.
+        """
+        time = VirtualTime()
+        with patched_clocks(time):
+            world = World(time, Random(0), APPLY_S)
+            time.run(FAULT_AT_S)
+            world.store_callers.clear()
+            time.run(DAY_S)
+            self.assertEqual(world.store_callers, set(world.roots("a")))
+
     def test_lost_roots_near_the_store(self) -> None:
         """Guards against time limits that add up along the way of a change."""
         self.check("power of the roots near the store")
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -290,6 +290,11 @@
         self.sources.record_store_reply(BUSY_TABLE, 12.0)
         self.assertEqual(self.sources.confirmed_at(TABLE), 10.0)
 
+    def test_response_at_the_end_of_its_wait_confirms_the_wait(self) -> None:
+        """Guards against a quiet table that looks as old as the calls wait."""
+        self.sources.record_store_reply(TABLE, 11.0, 0.4)
+        self.assertEqual(self.sources.confirmed_at(TABLE), 11.4)
+
     def test_interruption_is_a_time_without_confirmation(self) -> None:
         sources = TableSources(interruption_s=2.0)
         self.assertEqual(sources.uninterrupted_since(TABLE), float("inf"))
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -61,7 +61,7 @@
 UNAVAILABLE_WAIT_S = 0.3
 # Check-ins of targets change their table many times a second. The maximum age must not exceed
 # damasktide.relay.sources.MAX_AGE_S, the maximum age of data that other instances accept.
-BUSY_POLL_SCHEDULE = PollSchedule(gap_s=0.6, wait_s=0.4, max_age_s=1.2)
+BUSY_POLL_SCHEDULE = PollSchedule(gap_s=0.6, wait_s=0.2, max_age_s=1.2)
 # Changes by operators and of the key maps are rare, and must be noticed at once. A connection that
 # went silent is noticed after the wait, and machines have to be up to date again after 4 s.
 QUIET_POLL_SCHEDULE = PollSchedule(gap_s=0.05, wait_s=3.0)
@@ -272,7 +272,7 @@
             self._due_at = self._due_after_call(started_at, 0.0 if changes.rows else wait_s)
         else:
             self._due_at = monotonic() + self._poll_schedule.relayed_gap_s
-        requested_at -= changes.relayed_age_s or 0.0
+        requested_at += changes.waited_s - (changes.relayed_age_s or 0.0)
         known = self.snapshot.value
         assert known is not None
         self.snapshot.publish(known.updated(changes, requested_at, self._fingerprint))
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -95,6 +95,8 @@
         Name of the instance that relayed the response; empty if the store itself responded.
     is_complete
         Whether the rows are the complete table, because earlier changes are not known.
+    waited_s
+        Time in seconds for which the store has waited without a change since the call was made.
     """
 
     rows: tuple[Row, ...]
@@ -102,6 +104,7 @@
     relayed_age_s: float | None = None
     relayed_by: str = ""
     is_complete: bool = False
+    waited_s: float = 0.0
 
 
 class StoreUnavailableError(Exception):
