--- a/packages/damasktide/src/damasktide/relay/relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/relayed_store.py
@@ -76,7 +76,7 @@
     exchange
         Links to other instances.
     table_sources
-        Receives where each table is followed.
+        Receives where the changes of each table are requested, and up to when they are known.
     reads_from_peer
         Whether the first read of a table may come from another instance.
     watches_source
--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -59,7 +59,10 @@
         return encode_changes_reply(self.reply_to(request))
 
     def reply_to(self, request: ChangesRequest) -> ChangesReply:
-        """Return the changes, immediately or as soon as there are any."""
+        """Return the changes as soon as there are any, or a newer response without any.
+
+        A requester that is behind the known changes gets the complete table at once.
+        """
         published = self._snapshots.get(request.table)
         if published is None:
             return ChangesRefused("unknown table")
@@ -89,14 +92,16 @@
                 return RelayedChanges(
                     rows,
                     snapshot.version,
-                    arrived_at - confirmed_at,
-                    {
+                    age_s=arrived_at - confirmed_at,
+                    age_s_by_table={
                         table: arrived_at - at
                         for table, at in self._table_sources.confirmed_at_by_table().items()
                     },
-                    snapshot.requested_at,
-                    arrived_at - self._table_sources.uninterrupted_since(request.table),
-                    is_complete,
+                    confirmation=snapshot.requested_at,
+                    uninterrupted_s=(
+                        arrived_at - self._table_sources.uninterrupted_since(request.table)
+                    ),
+                    is_complete=is_complete,
                 )
             # The wait ends once the snapshot is stale, so that the requester does not depend on an
             # instance that has lost contact with the store itself.
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -59,8 +59,8 @@
 # Longest wait of a call while the store is unavailable, because the call may hang on an
 # unresponsive connection.
 UNAVAILABLE_WAIT_S = 0.3
-# Check-ins of targets change their table many times a second. The maximum age must not exceed
-# damasktide.relay.sources.MAX_AGE_S, the maximum age of data that other instances accept.
+# The list of targets changes often, and its short calls notice an unresponsive store. The maximum
+# age must not exceed damasktide.relay.sources.MAX_AGE_S, which other instances accept.
 BUSY_POLL_SCHEDULE = PollSchedule(gap_s=0.6, wait_s=0.2, max_age_s=1.2)
 # Changes by operators and of the key maps are rare, and must be noticed at once. A connection that
 # went silent is noticed after the wait, and machines have to be up to date again after 4 s.
