Identify organisations by their API key

Cause: configurations with organisations were served without looking at keys: targets got the caller's key and whatever organisation the caller named, and requests with unknown keys ran.

Change: the configuration holds organisations with their keys, priority and regions; a request with a missing or unknown key gets 401 unless its route needs none; targets get the organisation's name and never the key. Test runs show the log of failed tests only.

Ruled out: comparing with the stored keys one by one, whose time grows with the number of organisations and depends on how much of a key matches.

--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -193,7 +193,7 @@
             request.route.name,
             request.route.objective_s,
             request.deadline - now,
-            request.route.regions,
+            request.regions,
             request.rank,
             owner_id,
             frozenset(self._tried_ids),
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -10,6 +10,7 @@
 from damasktide.http1.messages import RequestHead, ResponseHead, encode_chunk, encode_request
 from damasktide.http1.pool import ConnectionPool
 from damasktide.http1.server_connection import ServerConnection
+from damasktide.organisations.organisation import CallerIdentity
 from damasktide.targets.target import TargetEntry
 
 # Connecting takes one round trip. TCP retransmits a lost SYN only after 1 s, so a retry with a new
@@ -66,6 +67,8 @@
         Connections that carried earlier attempts of the request; the call uses none of them, and
         adds its own. The target may still send a second copy of its response to one of these
         attempts, with the same id.
+    identity
+        Who sent the request, or None if the configuration has no organisations.
 
     Attributes
     ----------
@@ -82,6 +85,7 @@
         request_id: bytes | None,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         used_connections: set[ServerConnection] | None = None,
+        identity: CallerIdentity | None = None,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -95,6 +99,7 @@
         self._is_connection_reused = False
         self._connect_timeout_s = connect_timeout_s
         self._used_connections = used_connections if used_connections is not None else set()
+        self._identity = identity
         self.started_at = monotonic()
 
     def send(self, deadline: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
@@ -116,7 +121,11 @@
         """
         remaining_s = max(0.001, deadline - monotonic())
         self._connect_timeout_s = min(self._connect_timeout_s, remaining_s)
-        fields = list(self._dialect.call_fields(self._head, self._entry.target_id, remaining_s))
+        fields = list(
+            self._dialect.call_fields(
+                self._head, self._entry.target_id, remaining_s, self._identity
+            )
+        )
         if rest is not None:
             fields.append((b"Transfer-Encoding", b"chunked"))
             self._send_on_pooled_connection(
--- a/packages/damasktide/src/damasktide/gateway/dialect.py
+++ b/packages/damasktide/src/damasktide/gateway/dialect.py
@@ -1,11 +1,12 @@
 """Header fields that the gateway reads and writes in messages of callers and targets."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from damasktide.dispatch.load_estimate import LoadReport
 from damasktide.http1.messages import HeaderFields, RequestHead, ResponseHead
+from damasktide.organisations.organisation import CallerIdentity
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,12 +23,15 @@
         Key of the request, or None if there is none.
     host
         Value of the Host field.
+    api_key
+        Key that identifies the caller's organisation, or None. It must not leave the instance.
     """
 
     request_id: bytes | None
     remaining_s: float | None
     key: int | None
     host: str
+    api_key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,9 +81,17 @@
         """
 
     def call_fields(
-        self, head: RequestHead, target_id: str, remaining_s: float
+        self,
+        head: RequestHead,
+        target_id: str,
+        remaining_s: float,
+        identity: CallerIdentity | None,
     ) -> Iterable[tuple[bytes, bytes]]:
-        """Return the header fields of the request to a target, without framing fields."""
+        """Return the header fields of the request to a target, without framing fields.
+
+        Unless ``identity`` is None, the API key is removed and the field that names the
+        organisation is set or removed, whatever the caller sent.
+        """
 
     def response_metadata(self, head: ResponseHead) -> ResponseMetadata:
         """Return the metadata of a target's response."""
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -32,7 +32,8 @@
 from damasktide.http1.pool import ConnectionPool
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
-from damasktide.routing.configuration import Service
+from damasktide.organisations.organisation import CallerIdentity
+from damasktide.routing.configuration import Route, RoutingConfiguration, Service
 from damasktide.routing.splitter import TrafficSplitter
 from damasktide.routing.task import RoutingActivated
 from damasktide.targets.target import TargetEntry
@@ -155,6 +156,15 @@
         route = routing.table.find(metadata.host, head.target.decode("latin-1"))
         if route is None:
             return Refusal(404, Reason.NO_ROUTE, "no route for this host and path")
+        identity = _identify(routing.configuration, route, metadata)
+        if isinstance(identity, Refusal):
+            return identity
+        organisation = identity.organisation if identity is not None else None
+        regions = route.regions
+        if organisation is not None and organisation.regions:
+            regions = regions & organisation.regions if regions else organisation.regions
+            if not regions:
+                return Refusal(403, Reason.NO_REGION, "no region may serve this request")
         service_name = self._splitter.choose(route)
         service = routing.configuration.service_by_name.get(service_name, Service(service_name))
         self._allowance(service_name).count_request(monotonic())
@@ -163,7 +173,7 @@
             return not_run_refusal(Reason.OVERLOADED, "the link is full", wait_s)
         body = read_body(caller)
         deadline, caller_deadline = deadlines(route, metadata, caller.received_at)
-        rank = routing.table.rank(route, service_name)
+        rank = routing.table.rank(route, service_name, organisation)
         return GatewayRequest(
             head,
             metadata,
@@ -174,6 +184,8 @@
             caller.received_at,
             deadline,
             caller_deadline,
+            regions,
+            identity,
         )
 
     def _forward(
@@ -302,6 +314,7 @@
             if self._context.dispatcher.is_in_own_region(entry.domain)
             else CROSS_REGION_CONNECT_TIMEOUT_S,
             used_connections,
+            request.identity,
         )
 
     def _allowance(self, service: str) -> RetryAllowance:
@@ -312,6 +325,18 @@
         return allowance
 
 
+def _identify(
+    configuration: RoutingConfiguration, route: Route, metadata: RequestMetadata
+) -> CallerIdentity | Refusal | None:
+    """Return who sent a request, None without organisations, or a refusal for an unknown key."""
+    if not configuration.organisations:
+        return None
+    organisation = configuration.organisations.find(metadata.api_key)
+    if organisation is None and route.requires_key:
+        return Refusal(401, Reason.UNAUTHENTICATED, "the API key is missing or unknown")
+    return CallerIdentity(organisation)
+
+
 def _encode_complete_response(
     method: bytes, head: ResponseHead, fields: list[tuple[bytes, bytes]], body: bytes
 ) -> bytes:
--- a/packages/damasktide/src/damasktide/gateway/refusals.py
+++ b/packages/damasktide/src/damasktide/gateway/refusals.py
@@ -11,6 +11,8 @@
 
     MALFORMED = "malformed"
     NO_ROUTE = "no_route"
+    UNAUTHENTICATED = "unauthenticated"
+    NO_REGION = "no_region"
     STARTING = "starting"
     NO_TARGET = "no_target"
     NO_OWNER = "no_owner"
--- a/packages/damasktide/src/damasktide/gateway/request.py
+++ b/packages/damasktide/src/damasktide/gateway/request.py
@@ -6,6 +6,7 @@
 from damasktide.gateway.dialect import RequestMetadata
 from damasktide.http1.caller_connection import CallerConnection
 from damasktide.http1.messages import RequestHead
+from damasktide.organisations.organisation import CallerIdentity, Organisation
 from damasktide.routing.configuration import Route, Service
 
 # Bodies up to this size are read completely before the first attempt, so that the request can be
@@ -57,6 +58,10 @@
     caller_deadline
         Monotonic time until which the caller waits; if the caller does not state it, the timeout
         of the route applies, or else ``DEFAULT_TIMEOUT_S``.
+    regions
+        Regions in which the request may be served; empty allows all.
+    identity
+        Who sent the request, or None if the configuration has no organisations.
     """
 
     head: RequestHead
@@ -68,6 +73,13 @@
     received_at: float
     deadline: float
     caller_deadline: float
+    regions: frozenset[str] = frozenset()
+    identity: CallerIdentity | None = None
+
+    @property
+    def organisation(self) -> Organisation | None:
+        """The organisation that sent the request, or None if it is not known."""
+        return self.identity.organisation if self.identity is not None else None
 
     @property
     def is_retry_safe(self) -> bool:
--- a/packages/damasktide/src/damasktide/gateway/tests/fake_target.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/fake_target.py
@@ -8,6 +8,7 @@
 from damasktide.gateway.dialect import RequestMetadata, ResponseMetadata
 from damasktide.http1.messages import HeaderFields, RequestHead, ResponseHead, first_field
 from damasktide.http1.tests.loopback_server import running_server
+from damasktide.organisations.organisation import CallerIdentity
 
 
 class PlainDialect:
@@ -16,7 +17,13 @@
     def request_metadata(self, head: RequestHead) -> RequestMetadata:
         return RequestMetadata(head.field(b"id"), None, None, "")
 
-    def call_fields(self, head: RequestHead, target_id: str, remaining_s: float) -> HeaderFields:
+    def call_fields(
+        self,
+        head: RequestHead,
+        target_id: str,
+        remaining_s: float,
+        identity: CallerIdentity | None = None,
+    ) -> HeaderFields:
         return head.headers
 
     def response_metadata(self, head: ResponseHead) -> ResponseMetadata:
--- /dev/null
+++ b/packages/damasktide/src/damasktide/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations that call the services, and the API keys that identify them."""
--- a/packages/damasktide/src/damasktide/routing/configuration.py
+++ b/packages/damasktide/src/damasktide/routing/configuration.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from damasktide.http1.caller_connection import CallerLimits
+from damasktide.organisations.organisation import OrganisationTable
 
 
 class RouteKind(Enum):
@@ -62,6 +63,8 @@
         Priority of the requests; 0 is the most urgent.
     regions
         Regions in which the requests may be served; empty allows all.
+    requires_key
+        Whether a request needs an API key, where the configuration has organisations.
     """
 
     name: str
@@ -74,6 +77,7 @@
     max_attempts: int = 1
     priority: int = 0
     regions: frozenset[str] = frozenset()
+    requires_key: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,9 +125,12 @@
         All services.
     limits
         Limits on the requests of callers.
+    organisations
+        Organisations by API key; if there are none, requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     service_by_name: Mapping[str, Service] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    organisations: OrganisationTable = field(default_factory=OrganisationTable)
--- a/packages/damasktide/src/damasktide/routing/route_table.py
+++ b/packages/damasktide/src/damasktide/routing/route_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from damasktide.organisations.organisation import Organisation
 from damasktide.routing.configuration import Route
 
 
@@ -15,26 +16,39 @@
     ----------
     routes
         All routes. Of several routes with the same host and prefix, the first one is used.
+    organisations
+        Organisations, whose priorities are ranked together with those of the routes.
     """
 
-    def __init__(self, routes: Iterable[Route] = ()) -> None:
+    def __init__(
+        self, routes: Iterable[Route] = (), organisations: Iterable[Organisation] = ()
+    ) -> None:
         self._route_by_prefix_by_host: dict[str, dict[str, Route]] = {}
         self._priorities_by_service: dict[str, list[int]] = {}
+        organisation_priorities = {
+            organisation.priority
+            for organisation in organisations
+            if organisation.priority is not None
+        }
         for route in routes:
-            self._add_priority(route)
+            self._add_priorities(route, {route.priority, *organisation_priorities})
             route_by_prefix = self._route_by_prefix_by_host.setdefault(route.host, {})
             route_by_prefix.setdefault(route.prefix, route)
 
-    def rank(self, route: Route, service: str) -> int:
-        """Return the rank of a route's priority within a service; 0 is the most urgent."""
-        return self._priorities_by_service[service].index(route.priority)
+    def rank(self, route: Route, service: str, organisation: Organisation | None = None) -> int:
+        """Return the rank of a request's priority within a service; 0 is the most urgent.
 
-    def _add_priority(self, route: Route) -> None:
+        The priority is that of the organisation, if it has one, or else that of the route.
+        """
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return self._priorities_by_service[service].index(priority)
+
+    def _add_priorities(self, route: Route, priorities: set[int]) -> None:
         for weighted in route.services:
-            priorities = self._priorities_by_service.setdefault(weighted.service, [])
-            if route.priority not in priorities:
-                priorities.append(route.priority)
-                priorities.sort()
+            known = self._priorities_by_service.get(weighted.service, ())
+            self._priorities_by_service[weighted.service] = sorted(priorities.union(known))
 
     def find(self, host: str, request_target: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None.
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -146,11 +146,13 @@
         current = self.in_force.value
         if current is not None and configuration.version <= current.configuration.version:
             return
-        self.in_force.publish(RoutingActivated(configuration, RouteTable(configuration.routes)))
+        table = RouteTable(configuration.routes, configuration.organisations)
+        self.in_force.publish(RoutingActivated(configuration, table))
         logger.bind(
             version=configuration.version,
             row_version=row_version,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations),
             **provenance(message, self._clock.now()),
         ).info("configuration in force")
         self._on_configuration(configuration)
--- a/packages/damasktide/src/damasktide/routing/tests/test_route_table.py
+++ b/packages/damasktide/src/damasktide/routing/tests/test_route_table.py
@@ -3,6 +3,7 @@
 import unittest
 from collections import Counter
 
+from damasktide.organisations.organisation import Organisation
 from damasktide.routing.configuration import Route, RouteKind, WeightedService
 from damasktide.routing.route_table import RouteTable
 from damasktide.routing.splitter import TrafficSplitter
@@ -43,6 +44,13 @@
         table = RouteTable((normal, urgent))
         self.assertEqual((table.rank(urgent, "s"), table.rank(normal, "s")), (0, 1))
 
+    def test_priority_of_the_organisation_replaces_that_of_the_route(self) -> None:
+        normal = route("/v/", priority=5)
+        large, small = Organisation("large", priority=1), Organisation("small")
+        table = RouteTable((normal,), (large, small))
+        ranks = [table.rank(normal, "s", caller) for caller in (large, small, None)]
+        self.assertEqual(ranks, [0, 1, 1])
+
 
 class TestTrafficSplitter(unittest.TestCase):
     def test_shares_follow_the_weights_over_short_spans(self) -> None:
--- a/tooling/run_tests.py
+++ b/tooling/run_tests.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from loguru import logger
+
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
@@ -30,6 +32,10 @@
             yield test
 
 
+def _write_to_current_stderr(line: str) -> None:
+    sys.stderr.write(line)
+
+
 def _discover() -> Iterator[unittest.TestCase]:
     for source in (*sorted(ROOT.glob("packages/*/src")), ROOT / "platform" / "src"):
         loader = unittest.TestLoader()
@@ -38,6 +44,9 @@
 
 def main() -> int:
     """Run all tests but the known red ones; return the exit code, 0 if they passed."""
+    # The runner replaces sys.stderr during each test and prints the output of failed tests only.
+    logger.remove()
+    logger.add(_write_to_current_stderr)
     known_red_ids = _known_red_ids()
     suite = unittest.TestSuite()
     excluded_ids = []
