Reject responses whose status HTTP does not define

Cause: the parser accepts any three digits. A status below 100 was taken for an interim response, so the call waited up to its deadline and took a response that followed on the connection; a status above 599 was passed on to the caller.

Change: such a response fails the call at once as not HTTP, for targets and for the store, whose clients share the connection class. Its connection is closed, and a request that is not idempotent counts as possibly run. Calls between instances do not use HTTP.

Ruled out: a check in the gateway only, which would leave the store's client with the same fault.

Result: six checks that failed before pass (five statuses at the connection, one booking at the gateway).

--- a/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_attempts.py
@@ -14,7 +14,7 @@
 from damasktide.gateway.dialect import RequestMetadata
 from damasktide.gateway.refusals import Refusal
 from damasktide.gateway.request import Body, GatewayRequest
-from damasktide.gateway.tests.fake_target import PlainDialect, request_ids, response
+from damasktide.gateway.tests.fake_target import PlainDialect, request_ids, response, target
 from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead
 from damasktide.http1.pool import Address, ConnectionPool
@@ -160,3 +160,27 @@
             self.assertEqual([outcome.is_abandoned for outcome in dispatcher.outcomes], [True])
             sleep(0.05)
             self.assertEqual(received[-1], b"", "the connection to the target is still open")
+
+
+class TestStatusOutsideTheDefinedRange(unittest.TestCase):
+    """A target in trouble responds with the status 000, then with 200 on the same connection."""
+
+    def setUp(self) -> None:
+        self.pool = ConnectionPool()
+        self.addCleanup(self.pool.close_all)
+        self.arrivals: list[bytes] = []
+
+    def respond(self, request_id: bytes) -> Iterator[bytes]:
+        self.arrivals.append(request_id)
+        yield response(request_id, b"", status=0).replace(b" 0 ", b" 000 ")
+        yield response(request_id, b"late")
+
+    def test_booking_fails_at_once_and_may_have_run(self) -> None:
+        """Guards against 000 or the late 200 as the answer, and against a second execution."""
+        started_at = monotonic()
+        with target(self.respond) as address:
+            result = attempts(self.pool, OnlyTarget(address), request(b"booking")).run()
+        assert isinstance(result, Refusal)
+        self.assertEqual((result.status, result.guarantees_not_run), (502, False))
+        self.assertEqual(self.arrivals, [b"booking"])
+        self.assertLess(monotonic() - started_at, TIMEOUT_S / 2)
--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -21,6 +21,10 @@
 # Limit on bytes that complete no head, no part of a body and no message: a head, trailers or the
 # extension of a chunk. Servers commonly limit heads to 8 or 16 KiB.
 MAX_IDLE_INPUT_BYTES = 64 * 1024
+# Statuses that HTTP defines (RFC 9110, section 15). A server in trouble may send others, such as
+# 000, which parsers accept.
+MIN_STATUS = 100
+MAX_STATUS = 599
 # Limit on the responses with status 1xx before the final one.
 MAX_INFORMATIONAL_RESPONSES = 16
 # Limit on a body that is read as a whole. The longest is a page of the store with a configuration.
@@ -183,13 +187,16 @@
         Raises
         ------
         CallError
-            If no head arrives.
+            If no head arrives, or with ``NOT_HTTP`` if its status is not one that HTTP defines.
         """
         self._events.method = method
         informational_count = 0
         while True:
             event = self._next_event(until)
             if isinstance(event, ResponseHead):
+                if not MIN_STATUS <= event.status <= MAX_STATUS:
+                    self.is_broken = True
+                    raise CallError(CallFailure.NOT_HTTP, f"invalid status {event.status:03}")
                 if event.status >= 200:
                     self._head = event
                     return event
--- a/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_server_connection.py
@@ -102,6 +102,25 @@
                 self.assertEqual(call(connection), (200, b"ok"))
                 self.assertFalse(connection.is_reusable())
 
+    def test_status_outside_the_defined_range_is_rejected_at_once(self) -> None:
+        """Guards against 000 as a response, and against the wait for another one after it.
+
+        The 200 that follows answers nothing: the server did not mean the first one as an interim
+        response.
+        """
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            with (
+                self.subTest(status=status),
+                serving_response(OK.replace(b"200", status) + OK) as address,
+            ):
+                connection = open_connection(address)
+                started_at = monotonic()
+                with self.assertRaises(CallError) as raised:
+                    call(connection)
+                self.assertIs(raised.exception.failure, CallFailure.NOT_HTTP)
+                self.assertLess(monotonic() - started_at, TIMEOUT_S / 2)
+                self.assertFalse(connection.is_reusable())
+
     def test_informational_response_is_skipped(self) -> None:
         with serving_response(b"HTTP/1.1 100 Continue\r\n\r\n" + OK) as address:
             self.assertEqual(call(open_connection(address)), (200, b"ok"))
