Free the parser of a closed connection at once

A connection's parser and its event receiver refer to each other, so each call to a target that sends a head without end kept 1.2 MB until the garbage collector ran.

Change: closing a connection drops its parser, fields and failure.

The new test failed before the change.

--- a/packages/damasktide/src/damasktide/http1/server_connection.py
+++ b/packages/damasktide/src/damasktide/http1/server_connection.py
@@ -56,6 +56,16 @@
     def bind(self, parser: HttpResponseParser) -> None:
         self._parser = parser
 
+    def release(self) -> None:
+        """Drop the parser, which refers to this object, and what has not been consumed.
+
+        The cycle would keep up to 1.2 MB of the fields of an endless head until the garbage
+        collector runs.
+        """
+        self._parser = None
+        self._headers = []
+        self.queue.clear()
+
     def on_message_begin(self) -> None:
         self.is_in_message = True
         self._reason = b""
@@ -328,6 +338,9 @@
     def close(self) -> None:
         """Close the connection; safe to call twice."""
         self.is_broken = True
+        # The traceback of the failure refers to this object as well.
+        self._input_failure = None
+        self._events.release()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
--- a/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_endless_messages.py
@@ -1,5 +1,6 @@
 """Peers that send without end: heads, trailers, chunk extensions and bodies are bounded."""
 
+import gc
 import tracemalloc
 import unittest
 from collections.abc import Callable, Iterator
@@ -106,6 +107,33 @@
             connection.close()
 
 
+class TestMemoryOfClosedConnections(unittest.TestCase):
+    def test_fields_of_an_endless_head_are_freed_at_once(self) -> None:
+        """Guards against 1.2 MB for each failed call until the garbage collector runs.
+
+        A gateway that called such targets 160 times grew from 48 to 198 MB.
+        """
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        block = b"X: y\r\n" * 2000
+        with endless_server(lambda: chain((b"HTTP/1.1 200 OK\r\n",), repeat(block))) as (
+            address,
+            _,
+        ):
+            connection = ServerConnection(address)
+            connection.connect(TIMEOUT_S)
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            with self.assertRaises(CallError):
+                connection.exchange(REQUEST, b"GET", monotonic() + TIMEOUT_S)
+            connection.close()
+            del connection
+            # The server, in the same process, holds some blocks that it has not sent.
+            kept_bytes = tracemalloc.get_traced_memory()[0]
+            self.assertLess(kept_bytes, MAX_IDLE_INPUT_BYTES + 10 * len(block))
+
+
 class TestMemoryOfBodies(unittest.TestCase):
     """What a server sends must not take many times its bytes, or be kept without a use."""
 
