Serve pipelined idempotent requests of a connection concurrently

Cause: the next head of a connection was read only after the response to the current request, so that one slow target delayed all requests behind it. A request behind a chunked body was refused with 400.

Change: while an idempotent request is served, complete idempotent requests behind it are read and each is served by a greenlet of its own. Responses are written in order. Any other request stays in the input until all responses have been sent. The end of a chunked body is located, so that a request may follow it. Input that is unread when the gateway ends a connection is discarded for up to 1 s, because closing would reset the connection and lose responses. The fields of a request without a body no longer lose Connection: close.

Ruled out: a permanent reader greenlet for each connection, which costs callers that do not pipeline; parsing with a second parser to find the end of a chunked body, which reads every body twice.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -14,6 +14,7 @@
 from damasktide.dispatch.link_budget import LinkBudget
 from damasktide.gateway.dialect import Dialect, ResponseMetadata
 from damasktide.gateway.handler import GatewayContext, GatewayHandler
+from damasktide.gateway.pipeline_order import BufferBudget
 from damasktide.gateway.probe_listener import ProbeHandler
 from damasktide.gateway.request import GatewayRequest
 from damasktide.gateway.telemetry import GatewayTelemetry
@@ -271,6 +272,7 @@
             LinkBudget(self._settings.link_mbps),
             self._record_response,
             self._record_request,
+            BufferBudget.for_machine(self._settings.memory_mb),
         )
 
     def _limits(self) -> CallerLimits:
--- a/packages/damasktide/src/damasktide/gateway/call.py
+++ b/packages/damasktide/src/damasktide/gateway/call.py
@@ -69,6 +69,8 @@
         attempts, with the same id.
     identity
         Who sent the request, or None if the configuration has no organisations.
+    max_buffered_bytes
+        Bytes up to which a response is read as a whole.
 
     Attributes
     ----------
@@ -86,6 +88,7 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         used_connections: set[ServerConnection] | None = None,
         identity: CallerIdentity | None = None,
+        max_buffered_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> None:
         self._pool = pool
         self._dialect = dialect
@@ -100,6 +103,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._used_connections = used_connections if used_connections is not None else set()
         self._identity = identity
+        self._max_buffered_bytes = max_buffered_bytes
         self.started_at = monotonic()
 
     def send(self, deadline: float, body: bytes, rest: Iterator[bytes] | None = None) -> None:
@@ -250,7 +254,7 @@
         body = bytearray()
         for data in connection.read_body(until):
             body += data
-            if len(body) > MAX_BUFFERED_RESPONSE_BYTES:
+            if len(body) > self._max_buffered_bytes:
                 return TargetResponse(head, metadata, bytes(body), is_complete=False)
         return TargetResponse(head, metadata, bytes(body), is_complete=True)
 
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from time import monotonic
 
 from loguru import logger
@@ -9,19 +10,23 @@
 from damasktide.dispatch.dispatcher import Dispatcher
 from damasktide.dispatch.link_budget import LinkBudget
 from damasktide.dispatch.retry_allowance import RetryAllowance, RetryLimits
-from damasktide.gateway.attempts import Attempts, OnResponse
+from damasktide.gateway.attempts import Attempts, OnResponse, OpenCall
 from damasktide.gateway.call import (
     CONNECT_TIMEOUT_S,
     CROSS_REGION_CONNECT_TIMEOUT_S,
+    MAX_BUFFERED_RESPONSE_BYTES,
     TargetCall,
     TargetResponse,
 )
 from damasktide.gateway.dialect import Dialect, RequestMetadata
+from damasktide.gateway.exchange import CallerExchange
+from damasktide.gateway.pipeline import Pipeline, PipelinedRequest, PipelineRules
+from damasktide.gateway.pipeline_order import BufferBudget
 from damasktide.gateway.refusals import Reason, Refusal, not_run_refusal
 from damasktide.gateway.request import GatewayRequest, deadlines, read_body
 from damasktide.gateway.telemetry import GatewayTelemetry
 from damasktide.http1.caller_connection import CallerConnection
-from damasktide.http1.errors import BadRequestError, CallError
+from damasktide.http1.errors import BadRequestError, CallError, CallFailure
 from damasktide.http1.messages import (
     RequestHead,
     ResponseHead,
@@ -39,6 +44,7 @@
 from damasktide.targets.target import TargetEntry
 
 STARTING_RETRY_AFTER_S = 0.5
+ROUTE_CHANGED_RETRY_AFTER_S = 0.1
 _CONNECTION_CLOSE = (b"Connection", b"close")
 
 
@@ -74,6 +80,8 @@
         Called with the incarnation of a target and the metadata of each of its responses.
     on_request
         Called with each request before its first attempt.
+    pipeline_budget
+        Memory for pipelined requests.
     """
 
     dialect: Dialect
@@ -90,6 +98,7 @@
     link: LinkBudget = field(default_factory=lambda: LinkBudget(0.0))
     on_response: OnResponse = lambda incarnation, metadata: None
     on_request: Callable[[GatewayRequest], None] = lambda request: None
+    pipeline_budget: BufferBudget = field(default_factory=lambda: BufferBudget.for_machine(0.0))
 
 
 class GatewayHandler:
@@ -110,29 +119,69 @@
         self._context = context
         self._splitter = TrafficSplitter()
         self._allowance_by_service: dict[str, RetryAllowance] = {}
+        self._pipeline_rules = PipelineRules(
+            self._may_pipeline,
+            self._serve_pipelined,
+            context.is_closing,
+            context.telemetry.record_pipelined,
+            context.telemetry.record_pipeline_bound,
+            context.pipeline_budget,
+        )
         self.in_flight = 0
 
     def serve(self, caller: CallerConnection) -> None:
         """Serve the requests of one connection until it ends."""
-        while True:
-            try:
-                head = caller.read_request()
-            except BadRequestError as error:
-                self._reject(caller, error)
-                return
-            if head is None:
-                return
-            self.in_flight += 1
-            self._context.on_started()
-            try:
-                keeps_alive = self._serve_request(caller, head)
-            finally:
-                self.in_flight -= 1
-                self._context.on_finished()
-            if not keeps_alive:
-                return
-
-    def _serve_request(self, caller: CallerConnection, head: RequestHead) -> bool:
+        pipeline = Pipeline(caller, self._pipeline_rules)
+        caller.read_ahead = pipeline
+        try:
+            while self._serve_next(caller, pipeline):
+                pass
+            pipeline.close()
+            caller.finish_sending()
+        finally:
+            pipeline.close()
+
+    def _serve_next(self, caller: CallerConnection, pipeline: Pipeline) -> bool:
+        """Serve the next request; return whether the connection can carry another one."""
+        try:
+            head = caller.read_request()
+        except BadRequestError as error:
+            self._reject(caller, error)
+            return False
+        if head is None:
+            return False
+        return self._serve_counted(caller, head) and pipeline.finish_first()
+
+    def _serve_pipelined(self, request: PipelinedRequest, head: RequestHead) -> bool:
+        return self._serve_counted(request, head, request.flush)
+
+    def _serve_counted(
+        self, caller: CallerExchange, head: RequestHead, flush: Callable[[], None] | None = None
+    ) -> bool:
+        self.in_flight += 1
+        self._context.on_started()
+        try:
+            keeps_alive = self._serve_request(caller, head)
+            if flush is not None:
+                flush()
+            return keeps_alive
+        finally:
+            self.in_flight -= 1
+            self._context.on_finished()
+
+    def _may_pipeline(self, head: RequestHead) -> bool:
+        """Return whether a request may be served at the same time as earlier ones."""
+        routing = self._context.routing()
+        if routing is None:
+            return False
+        try:
+            host = self._context.dialect.request_metadata(head).host
+        except BadRequestError:
+            return False
+        route = routing.table.find(host, head.target.decode("latin-1"))
+        return route is not None and route.kind.is_idempotent
+
+    def _serve_request(self, caller: CallerExchange, head: RequestHead) -> bool:
         """Serve one request; return whether the connection can carry another one."""
         try:
             metadata = self._context.dialect.request_metadata(head)
@@ -140,15 +189,28 @@
         except BadRequestError as error:
             self._reject(caller, error)
             return False
-        keeps_alive = head.keeps_alive and caller.is_body_read and not self._context.is_closing()
+        if isinstance(admitted, GatewayRequest) and not _may_start(caller, admitted):
+            admitted = not_run_refusal(
+                Reason.NOT_RUN, "the route has changed", ROUTE_CHANGED_RETRY_AFTER_S
+            )
         if isinstance(admitted, Refusal):
+            keeps_alive = self._keeps_alive(caller, head)
             self._send_refusal(caller, metadata, admitted, keeps_alive)
             self._context.telemetry.record_refusal(metadata.request_id, None, admitted)
             return keeps_alive
-        return self._forward(caller, admitted, keeps_alive)
+        return self._forward(caller, admitted)
+
+    def _keeps_alive(self, caller: CallerExchange, head: RequestHead) -> bool:
+        """Return whether the connection stays open after the response to a request.
+
+        During a planned stop it stays open for the requests that were forwarded behind it.
+        """
+        if not head.keeps_alive or not caller.is_body_read:
+            return False
+        return not self._context.is_closing() or caller.has_requests_behind
 
     def _admit(
-        self, caller: CallerConnection, head: RequestHead, metadata: RequestMetadata
+        self, caller: CallerExchange, head: RequestHead, metadata: RequestMetadata
     ) -> GatewayRequest | Refusal:
         routing = self._context.routing()
         if routing is None:
@@ -188,9 +250,7 @@
             identity,
         )
 
-    def _forward(
-        self, caller: CallerConnection, request: GatewayRequest, keeps_alive: bool
-    ) -> bool:
+    def _forward(self, caller: CallerExchange, request: GatewayRequest) -> bool:
         self._context.on_request(request)
         attempts = Attempts(
             request,
@@ -198,10 +258,12 @@
             self._allowance(request.service.name),
             self._context.maps,
             self._context.instance_count,
-            self._open_call,
+            self._call_opener(caller),
             self._context.on_response,
         )
-        caller.watch_for_disconnect(attempts.abort)
+        caller.watch_for_disconnect(
+            attempts.abort, request.route.kind.is_idempotent and request.head.keeps_alive
+        )
         try:
             result = attempts.run()
         finally:
@@ -211,7 +273,7 @@
                 attempts.call.close()
             self._context.telemetry.record_disconnect(request)
             return False
-        keeps_alive = keeps_alive and caller.is_body_read and not self._context.is_closing()
+        keeps_alive = self._keeps_alive(caller, request.head)
         if isinstance(result, Refusal):
             self._send_refusal(caller, request.metadata, result, keeps_alive)
             self._context.telemetry.record_refusal(request.metadata.request_id, request, result)
@@ -222,7 +284,7 @@
 
     def _send_response(
         self,
-        caller: CallerConnection,
+        caller: CallerExchange,
         request: GatewayRequest,
         call: TargetCall | None,
         response: TargetResponse,
@@ -241,17 +303,18 @@
             )
             return keeps_alive
         assert call is not None
-        return self._stream_response(caller, request, call, response, fields) and keeps_alive
+        return self._stream_response(caller, request, call, response, fields, keeps_alive)
 
     def _stream_response(
         self,
-        caller: CallerConnection,
+        caller: CallerExchange,
         request: GatewayRequest,
         call: TargetCall,
         response: TargetResponse,
         fields: list[tuple[bytes, bytes]],
+        keeps_alive: bool,
     ) -> bool:
-        """Forward a long response while it arrives; return whether it was complete."""
+        """Forward a long response while it arrives; return whether the connection stays open."""
         head = response.head
         length = head.content_length
         if length is not None:
@@ -267,17 +330,20 @@
             if length is None:
                 caller.send(encode_chunk(b""))
         except (CallError, OSError) as error:
-            # The head has been sent, so only closing the connection tells the caller that the
-            # response is incomplete.
             call.close()
             self._context.telemetry.record_truncated_response(request, str(error))
+            if isinstance(error, CallError) and caller.discard_unsent():
+                self._send_refusal(caller, request.metadata, _truncated(error), keeps_alive)
+                return keeps_alive
+            # The head has been sent, so only closing the connection tells the caller that the
+            # response is incomplete.
             return False
         call.finish()
-        return True
+        return keeps_alive
 
     def _send_refusal(
         self,
-        caller: CallerConnection,
+        caller: CallerExchange,
         metadata: RequestMetadata,
         refusal: Refusal,
         keeps_alive: bool,
@@ -290,7 +356,7 @@
             fields.append(_CONNECTION_CLOSE)
         caller.send(encode_response(refusal.status, refusal.phrase, fields, refusal.body()))
 
-    def _reject(self, caller: CallerConnection, error: BadRequestError) -> None:
+    def _reject(self, caller: CallerExchange, error: BadRequestError) -> None:
         refusal = Refusal(error.status, Reason.MALFORMED, error.detail)
         self._context.telemetry.record_refusal(None, None, refusal)
         try:
@@ -298,11 +364,17 @@
         except OSError as send_error:
             logger.debug("cannot send the response to a malformed request: {}", send_error)
 
+    def _call_opener(self, caller: CallerExchange) -> OpenCall:
+        if caller.max_response_bytes is None:
+            return self._open_call
+        return partial(self._open_call, max_buffered_bytes=caller.max_response_bytes)
+
     def _open_call(
         self,
         request: GatewayRequest,
         entry: TargetEntry,
         used_connections: set[ServerConnection],
+        max_buffered_bytes: int = MAX_BUFFERED_RESPONSE_BYTES,
     ) -> TargetCall:
         return TargetCall(
             self._context.pool,
@@ -315,6 +387,7 @@
             else CROSS_REGION_CONNECT_TIMEOUT_S,
             used_connections,
             request.identity,
+            max_buffered_bytes,
         )
 
     def _allowance(self, service: str) -> RetryAllowance:
@@ -325,6 +398,20 @@
         return allowance
 
 
+def _may_start(caller: CallerExchange, request: GatewayRequest) -> bool:
+    """Return whether a request may start now.
+
+    The kind of its route may have changed since a pipelined request was read.
+    """
+    return not isinstance(caller, PipelinedRequest) or request.route.kind.is_idempotent
+
+
+def _truncated(error: CallError) -> Refusal:
+    if error.failure is CallFailure.TIMED_OUT:
+        return Refusal(504, Reason.TIMED_OUT, "no answer in time")
+    return Refusal(502, Reason.OUTCOME_UNKNOWN, str(error))
+
+
 def _identify(
     configuration: RoutingConfiguration, route: Route, metadata: RequestMetadata
 ) -> CallerIdentity | Refusal | None:
--- a/packages/damasktide/src/damasktide/gateway/request.py
+++ b/packages/damasktide/src/damasktide/gateway/request.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from damasktide.gateway.dialect import RequestMetadata
-from damasktide.http1.caller_connection import CallerConnection
+from damasktide.gateway.exchange import CallerExchange
 from damasktide.http1.messages import RequestHead
 from damasktide.organisations.organisation import CallerIdentity, Organisation
 from damasktide.routing.configuration import Route, Service
@@ -87,7 +87,7 @@
         return self.route.kind.is_idempotent and self.body.rest is None
 
 
-def read_body(caller: CallerConnection) -> Body:
+def read_body(caller: CallerExchange) -> Body:
     """Read the body, or only its first part if it exceeds ``MAX_BUFFERED_REQUEST_BYTES``.
 
     Raises
--- a/packages/damasktide/src/damasktide/gateway/telemetry.py
+++ b/packages/damasktide/src/damasktide/gateway/telemetry.py
@@ -6,6 +6,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
 from damasktide.gateway.call import TargetResponse
+from damasktide.gateway.pipeline_order import Verdict
 from damasktide.gateway.refusals import Refusal
 from damasktide.gateway.request import GatewayRequest
 
@@ -57,6 +58,17 @@
         self._disconnects = Counter(
             "damasktide_callers_left", "Callers that left before the answer.", registry=registry
         )
+        self._pipelined_requests = Counter(
+            "damasktide_pipelined_requests",
+            "Requests started while an earlier one of their connection was unanswered.",
+            registry=registry,
+        )
+        self._pipeline_bounds = Counter(
+            "damasktide_pipeline_bounds",
+            "Times when a bound kept a pipelined request from being started.",
+            ("bound",),
+            registry=registry,
+        )
         self._latency_s = Histogram(
             "damasktide_answer_seconds",
             "Time from the request's head to the end of its answer.",
@@ -111,6 +123,14 @@
                 "response truncated: {}", cause
             )
 
+    def record_pipelined(self) -> None:
+        """Record the start of a request behind an unanswered one."""
+        self._pipelined_requests.inc()
+
+    def record_pipeline_bound(self, bound: Verdict) -> None:
+        """Record that a bound kept a pipelined request from being started."""
+        self._pipeline_bounds.labels(bound.value).inc()
+
     def record_disconnect(self, request: GatewayRequest) -> None:
         """Record a caller that disconnected before its response."""
         self._disconnects.inc()
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -1,13 +1,16 @@
-"""Server side of a caller's connection, which carries one request at a time."""
+"""Server side of a caller's connection, which may carry pipelined requests."""
 
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from enum import Enum, auto
 from time import monotonic
+from typing import Protocol
 
 from gevent import get_hub, socket
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from damasktide.http1.chunked_body import ChunkedBodyScanner
 from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead, encode_response
 
@@ -16,7 +19,16 @@
 TCP_USER_TIMEOUT_MS = 5_000
 # Timeout for a write of a response that makes no progress.
 SEND_TIMEOUT_S = 5.0
+# While input is pending or has ended, a reset does not make the socket readable again; the state
+# of the connection is then checked at this interval.
+RESET_CHECK_INTERVAL_S = 0.1
+# Limits on the input that is discarded before a connection is closed. Closing it with unread input
+# would reset it, which discards responses that the kernel has not sent yet.
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 1024 * 1024
 _HEAD_END = b"\r\n\r\n"
+# Value of `tcpi_state`, the first byte of TCP_INFO, after a reset.
+_TCP_STATE_CLOSE = 7
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +60,15 @@
         self.body_parts: deque[bytes] = deque()
         self.has_head = False
         self.is_complete = False
-        self.has_pipelined_request = False
+        self.has_second_message = False
+        self.keeps_alive = True
+        self._parser: HttpRequestParser | None = None
+
+    def bind(self, parser: HttpRequestParser) -> None:
+        self._parser = parser
 
     def on_message_begin(self) -> None:
-        self.has_pipelined_request = self.is_complete
+        self.has_second_message = self.is_complete
 
     def on_url(self, target: bytes) -> None:
         self.target += target
@@ -61,6 +78,9 @@
 
     def on_headers_complete(self) -> None:
         self.has_head = True
+        assert self._parser is not None
+        # The parser forgets the fields of a request without a body as soon as it is complete.
+        self.keeps_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
         self.body_parts.append(data)
@@ -69,9 +89,50 @@
         self.is_complete = True
 
 
+@dataclass(frozen=True, slots=True)
+class PipelinedInput:
+    """A complete request that was read while an earlier one is served.
+
+    Attributes
+    ----------
+    head, body
+        Head and complete body.
+    received_at
+        Monotonic time in seconds at which the head was found in the input.
+    """
+
+    head: RequestHead
+    body: bytes
+    received_at: float
+
+
+class InputState(Enum):
+    """Why no pipelined request can be read."""
+
+    INCOMPLETE = auto()
+    UNSUITABLE = auto()
+
+
+class ReadAhead(Protocol):
+    """Reads requests while an earlier one is served."""
+
+    @property
+    def has_requests(self) -> bool:
+        """Whether requests behind the one that the connection's greenlet serves are in flight."""
+
+    def input_arrived(self) -> None:
+        """Handle input behind the current request; must not block."""
+
+    def disconnected(self) -> None:
+        """Handle a disconnect of the caller; must not block."""
+
+
 class CallerConnection:
     """A connection of a caller, used by one greenlet.
 
+    Only with :attr:`read_ahead` do other greenlets read complete requests behind the current one,
+    and write their responses after that of the current one.
+
     Parameters
     ----------
     sock
@@ -89,6 +150,8 @@
         Whether the gateway has begun to write a response to the current request.
     received_at
         Monotonic time in seconds at which the head of the current request was complete.
+    read_ahead
+        Reads requests behind the current one, or None if requests are served one at a time.
     """
 
     def __init__(self, sock: socket.socket, limits: Callable[[], CallerLimits]) -> None:
@@ -101,9 +164,19 @@
         # Bytes of trailers and chunk extensions since the last part of the body.
         self._idle_body_bytes = 0
         self._remaining_body_bytes: int | None = None
+        self._chunks: ChunkedBodyScanner | None = None
+        # Arrival of the head at the start of the buffer, if it was found before its turn.
+        self._next_received_at: float | None = None
         self._on_disconnect: Callable[[], None] | None = None
         self._read_watcher = get_hub().loop.io(sock.fileno(), 1)
+        self._reset_timer = get_hub().loop.timer(RESET_CHECK_INTERVAL_S, RESET_CHECK_INTERVAL_S)
         self._is_closed_for_reading = False
+        # Whether input has arrived behind a request. From then on the end of the input is taken
+        # for a caller that closed only its sending side.
+        self._is_pipelining = False
+        self._has_input_ended = False
+        self._is_reading_ahead = False
+        self.read_ahead: ReadAhead | None = None
         self.is_disconnected = False
         self.is_idle = True
         self.has_started_response = False
@@ -128,8 +201,9 @@
         raw = self._read_head_bytes(limits)
         if raw is None:
             return None
-        self.received_at = monotonic()
-        return self._parse_head(raw)
+        self.received_at = self._next_received_at or monotonic()
+        self._next_received_at = None
+        return self._start_request(raw)
 
     def read_body(self) -> Iterator[bytes]:
         """Yield the body of the request as it arrives.
@@ -173,25 +247,143 @@
         headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
         self.send(encode_response(status, reason, headers, f"{detail}\n".encode()))
 
-    def watch_for_disconnect(self, on_disconnect: Callable[[], None]) -> None:
+    def discard_unsent(self) -> bool:
+        """Return False, because :meth:`send` keeps nothing back."""
+        return False
+
+    @property
+    def max_response_bytes(self) -> None:
+        """No limit of its own for a response that is read before a part of it is sent."""
+        return None
+
+    @property
+    def has_requests_behind(self) -> bool:
+        """Whether requests behind the current one are in flight."""
+        return self.read_ahead is not None and self.read_ahead.has_requests
+
+    def watch_for_disconnect(
+        self, on_disconnect: Callable[[], None], may_read_ahead: bool = False
+    ) -> None:
         """Call ``on_disconnect`` in the hub's greenlet once the caller closes the connection.
 
         After :meth:`close_if_idle` a disconnect cannot be noticed, because the input has ended.
+
+        Parameters
+        ----------
+        on_disconnect
+            Must not block.
+        may_read_ahead
+            Whether :attr:`read_ahead` is notified of input behind the current request.
         """
         self._on_disconnect = on_disconnect
-        if self._is_closed_for_reading:
+        if self._is_closed_for_reading or not self._events.is_complete:
             return
-        if self._events.is_complete and not self._buffer:
-            self._read_watcher.start(self._check_for_disconnect)
+        self._is_reading_ahead = may_read_ahead and self.read_ahead is not None
+        if self._buffer:
+            self._handle_pending_input()
+        else:
+            self.watch_input()
+
+    def watch_input(self) -> None:
+        """Watch for further input, or only for a reset if the input has ended."""
+        if self._has_input_ended or self._is_closed_for_reading:
+            self.watch_for_reset()
+        else:
+            self._read_watcher.start(self._check_input)
+
+    def watch_for_reset(self) -> None:
+        """Watch for a reset only; further input stays unread."""
+        self._read_watcher.stop()
+        self._reset_timer.start(self._check_for_reset)
 
     def stop_watching(self) -> None:
         """Stop watching the caller."""
         self._on_disconnect = None
+        self._is_reading_ahead = False
+        self._read_watcher.stop()
+        self._reset_timer.stop()
+
+    def take_request(
+        self, accepts: Callable[[RequestHead], bool], max_body_bytes: int
+    ) -> PipelinedInput | InputState:
+        """Remove the next request from the received input if it is complete; never blocks.
+
+        A request that is malformed, has a body of more than ``max_body_bytes`` bytes or one with
+        chunked encoding, or is not accepted, stays in the input for :meth:`read_request`.
+        """
+        limits = self._limits()
+        self._buffer = self._buffer.lstrip(b"\r\n")
+        end = self._buffer.find(_HEAD_END) + len(_HEAD_END)
+        if end < len(_HEAD_END):
+            is_too_long = len(self._buffer) > limits.header_bytes
+            return InputState.UNSUITABLE if is_too_long else InputState.INCOMPLETE
+        self._next_received_at = self._next_received_at or monotonic()
+        if end - len(_HEAD_END) > limits.header_bytes:
+            return InputState.UNSUITABLE
+        try:
+            head, _, events = _parse_head(self._buffer[:end])
+        except BadRequestError:
+            return InputState.UNSUITABLE
+        length = 0 if events.is_complete else int(head.field(b"content-length") or -1)
+        if not 0 <= length <= min(max_body_bytes, limits.body_bytes) or not accepts(head):
+            return InputState.UNSUITABLE
+        if len(self._buffer) < end + length:
+            return InputState.INCOMPLETE
+        body = self._buffer[end : end + length]
+        self._buffer = self._buffer[end + length :]
+        received_at, self._next_received_at = self._next_received_at, None
+        return PipelinedInput(head, body, received_at)
+
+    def receive_available(self) -> bool:
+        """Append input that has already arrived to the buffer; return whether there was any."""
+        if self._has_input_ended:
+            return False
+        try:
+            data = self._socket._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            self.disconnect()
+            return False
+        self._has_input_ended = not data
+        self._buffer += data
+        return bool(data)
+
+    def disconnect(self) -> None:
+        """Abort all requests of the connection, because the caller has left."""
         self._read_watcher.stop()
+        self._reset_timer.stop()
+        if self.is_disconnected:
+            return
+        self.is_disconnected = True
+        if self._on_disconnect is not None:
+            self._on_disconnect()
+        if self.read_ahead is not None:
+            self.read_ahead.disconnected()
+
+    def finish_sending(self) -> None:
+        """Announce the end of the responses and discard input for a short time.
+
+        Does nothing if no input is unread.
+        """
+        if self.is_disconnected or not (self._is_pipelining or self._has_unread_input()):
+            return
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        until = monotonic() + LINGER_S
+        discarded_bytes = 0
+        while discarded_bytes < MAX_LINGER_BYTES and monotonic() < until:
+            self._buffer = b""
+            if not self._receive(until - monotonic()):
+                return
+            discarded_bytes += len(self._buffer)
 
     def close(self) -> None:
         """Close the connection; safe to call twice."""
         self._read_watcher.stop()
+        self._reset_timer.stop()
         self._socket.close()
 
     def close_if_idle(self) -> None:
@@ -207,19 +399,46 @@
                 # The caller has already closed the connection.
                 self.is_disconnected = True
 
-    def _check_for_disconnect(self) -> None:
+    def _check_input(self) -> None:
         try:
             data = self._socket._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self.disconnect()
+            return
         self._read_watcher.stop()
         if data:
-            return
-        self.is_disconnected = True
-        if self._on_disconnect is not None:
-            self._on_disconnect()
+            self._handle_pending_input()
+        elif self._is_pipelining:
+            self._has_input_ended = True
+            self.watch_for_reset()
+        else:
+            self.disconnect()
+
+    def _handle_pending_input(self) -> None:
+        self._is_pipelining = True
+        if self._is_reading_ahead:
+            assert self.read_ahead is not None
+            self.read_ahead.input_arrived()
+        else:
+            self.watch_for_reset()
+
+    def _check_for_reset(self) -> None:
+        try:
+            state = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            state = _TCP_STATE_CLOSE
+        if state == _TCP_STATE_CLOSE:
+            self.disconnect()
+
+    def _has_unread_input(self) -> bool:
+        if self._buffer:
+            return True
+        try:
+            return bool(self._socket._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def _wait_for_request(self) -> bool:
         """Wait for the first byte of a request.
@@ -273,32 +492,12 @@
                     raise BadRequestError(408, "the head did not arrive in time")
                 return None
 
-    def _parse_head(self, raw: bytes) -> RequestHead:
-        self._events = _RequestEvents()
+    def _start_request(self, raw: bytes) -> RequestHead:
         self._body_bytes = self._idle_body_bytes = 0
-        self._parser = HttpRequestParser(self._events)
-        try:
-            self._parser.feed_data(raw)
-        except HttpParserUpgrade:
-            raise BadRequestError(400, "upgrades are not supported") from None
-        except HttpParserError as error:
-            raise BadRequestError(400, f"malformed request head: {error}") from error
-        if not self._events.has_head:
-            raise BadRequestError(400, "malformed request head")
-        head = RequestHead(
-            self._parser.get_method(),
-            self._events.target,
-            tuple(self._events.headers),
-            self._parser.should_keep_alive(),
-            not self._events.is_complete,
-        )
-        hosts = [value for name, value in head.headers if name.lower() == b"host"]
-        if len(hosts) != 1:
-            raise BadRequestError(400, "exactly one Host field is required")
-        if not head.target.startswith(b"/"):
-            raise BadRequestError(400, "the request target must be a path")
+        head, self._parser, self._events = _parse_head(raw)
         length = head.field(b"content-length")
         self._remaining_body_bytes = int(length) if length is not None else None
+        self._chunks = ChunkedBodyScanner() if head.has_body and length is None else None
         return head
 
     def _feed_parser(self, limits: CallerLimits) -> None:
@@ -314,13 +513,54 @@
         self._idle_body_bytes = 0 if has_progress else self._idle_body_bytes + len(data)
         if self._idle_body_bytes > limits.header_bytes:
             raise BadRequestError(431, f"the trailers exceed {limits.header_bytes} bytes")
-        if self._events.has_pipelined_request:
-            raise BadRequestError(400, "a request follows before the response to this one")
+        is_ambiguous = (
+            self._chunks is not None and self._chunks.has_ended != self._events.is_complete
+        )
+        if is_ambiguous or self._events.has_second_message:
+            # A body whose end is ambiguous could hide a request (request smuggling).
+            raise BadRequestError(400, "malformed request body: ambiguous end")
 
     def _split_body(self, data: bytes) -> tuple[bytes, bytes]:
         """Split received bytes into a part of the body and what follows the body."""
+        if self._chunks is not None:
+            size = self._chunks.scan(data)
+            return (data, b"") if size == len(data) else (data[:size], data[size:])
         if self._remaining_body_bytes is None:
             return data, b""
         own, rest = data[: self._remaining_body_bytes], data[self._remaining_body_bytes :]
         self._remaining_body_bytes -= len(own)
         return own, rest
+
+
+def _parse_head(raw: bytes) -> tuple[RequestHead, HttpRequestParser, _RequestEvents]:
+    """Parse a complete head; the parser and its events are those for the body.
+
+    Raises
+    ------
+    BadRequestError
+        If the head is malformed.
+    """
+    events = _RequestEvents()
+    parser = HttpRequestParser(events)
+    events.bind(parser)
+    try:
+        parser.feed_data(raw)
+    except HttpParserUpgrade:
+        raise BadRequestError(400, "upgrades are not supported") from None
+    except HttpParserError as error:
+        raise BadRequestError(400, f"malformed request head: {error}") from error
+    if not events.has_head:
+        raise BadRequestError(400, "malformed request head")
+    head = RequestHead(
+        parser.get_method(),
+        events.target,
+        tuple(events.headers),
+        events.keeps_alive,
+        not events.is_complete,
+    )
+    hosts = [value for name, value in head.headers if name.lower() == b"host"]
+    if len(hosts) != 1:
+        raise BadRequestError(400, "exactly one Host field is required")
+    if not head.target.startswith(b"/"):
+        raise BadRequestError(400, "the request target must be a path")
+    return head, parser, events
--- a/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
@@ -78,6 +78,30 @@
         )
         self.assertEqual(self.request(data)[1], b"abcde")
 
+    def test_request_behind_a_chunked_body(self) -> None:
+        """Guards against a pipelined request that is taken for a part of the body before it."""
+        body = b"3\r\nabc\r\n0\r\nTrailer: x\r\n\r\n"
+        data = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body
+        _, received = self.request(data + b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(received, b"abc")
+        head = self.connection.read_request()
+        assert head is not None
+        self.assertEqual(head.target, b"/next")
+
+    def test_ambiguous_end_of_a_chunked_body(self) -> None:
+        """Guards against a request hidden in a body whose chunk sizes can be read in two ways."""
+        for line in (b"0x1\r\na", b"+1\r\na", b"1_0\r\n", b"0\n", b"1\na", b"-1\r\na"):
+            with self.subTest(line=line):
+                self.setUp()
+                data = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                self.assertEqual(self.status_of(data + line + b"\r\n0\r\n\r\n"), 400)
+
+    def test_caller_that_closes_after_a_request_without_a_body(self) -> None:
+        """Guards against a connection that stays open although its caller asked to close it."""
+        head, _ = self.request(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        assert head is not None
+        self.assertFalse(head.keeps_alive)
+
     def test_ambiguous_requests_are_rejected(self) -> None:
         """Guards against request smuggling: ambiguous framing has to be rejected."""
         for fields in (
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -33,6 +33,8 @@
         Address for calls of other instances, or None if there is none.
     link_mbps
         Bandwidth of the machine's network link in Mbit/s.
+    memory_mb
+        Memory of the machine in MB, or 0 if it is not known.
     longest_hold_s
         Longest time in seconds for which keys may be granted.
     drain_s
@@ -57,3 +59,4 @@
     drain_s: float = 0.0
     check_in_interval_s: float = 0.0
     log_level: str = "INFO"
+    memory_mb: float = 0.0
