--- a/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
@@ -1,6 +1,7 @@
 """Pipelined requests over loopback sockets, one failure a test."""
 
 import struct
+from dataclasses import replace
 
 from gevent import sleep, socket
 
@@ -100,6 +101,16 @@
         self.release["a"].set()
         self.assertEqual(self.responses(3), ["a", "404", "c"])
 
+    def test_route_that_changes_after_its_request_was_read(self) -> None:
+        """Guards against a request that runs beside others although it may run only once."""
+        rules = replace(self.handler._pipeline_rules, accepts=lambda head: True)
+        self.handler._pipeline_rules = rules
+        self.hold("a")
+        self.caller.sendall(read("a") + book("b") + read("c"))
+        self.wait_until(lambda: self.started == ["a", "c"])
+        self.release["a"].set()
+        self.assertEqual(self.responses(3), ["a", "503", "c"])
+
     def test_malformed_request_is_answered_after_those_before(self) -> None:
         self.hold("a")
         self.caller.sendall(read("a") + read("b") + b"GET / HTTP/1.1\r\n\r\n" + read("c"))
@@ -164,6 +175,16 @@
         self.wait_until(lambda: sorted(self.aborted) == ["b", "c"])
         self.wait_until(lambda: self.handler.in_flight == 0)
 
+    def test_caller_that_leaves_after_its_pipelined_requests(self) -> None:
+        """Guards against work for a caller that once pipelined and left with one open request."""
+        self.caller.sendall(read("a") + read("b"))
+        self.assertEqual(self.responses(2), ["a", "b"])
+        self.hold("c")
+        self.caller.sendall(read("c"))
+        self.wait_until(lambda: "c" in self.started)
+        self.caller.close()
+        self.wait_until(lambda: self.aborted == ["c"])
+
     def test_half_closed_caller_gets_its_responses(self) -> None:
         self.hold("a", "c")
         self.caller.sendall(read("a") + read("b") + book("c") + read("d"))
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -175,8 +175,8 @@
         self._read_watcher = get_hub().loop.io(sock.fileno(), 1)
         self._reset_timer = get_hub().loop.timer(RESET_CHECK_INTERVAL_S, RESET_CHECK_INTERVAL_S)
         self._is_closed_for_reading = False
-        # Whether input has arrived behind a request. From then on the end of the input is taken
-        # for a caller that closed only its sending side.
+        # Whether input has arrived behind a request since the connection was idle. The end of the
+        # input is then taken for a caller that closed only its sending side.
         self._is_pipelining = False
         self._has_input_ended = False
         self._is_reading_ahead = False
@@ -198,8 +198,10 @@
             If the head is malformed or too large, or does not arrive in time.
         """
         self.is_idle = not self._buffer
-        if not self._buffer and not self._wait_for_request():
-            return None
+        if not self._buffer:
+            self._is_pipelining = False
+            if not self._wait_for_request():
+                return None
         self.is_idle = False
         limits = self._limits()
         self.has_started_response = False
