Count a caller that closed behind pipelined requests as gone after 0.3 s

Cause: the end of the input behind pipelined requests was always taken for a caller that closed only its sending side, so targets went on working for callers that had left until a response was written.

Ruled out: treating it as a disconnect at once, which would leave a half-closed caller without responses that are about to arrive.

Change: responses of the next 0.3 s are delivered, then all requests of the connection are aborted. A system that does not tell the state of a connection no longer counts as a reset.

--- a/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import struct
 from dataclasses import replace
+from time import monotonic
 
 from gevent import sleep, socket
 
@@ -198,6 +199,16 @@
         self.assertEqual(self.responses(4), ["a", "b", "c", "d"])
         self.assertEqual(self.aborted, [])
 
+    def test_caller_that_closed_behind_a_slow_request_counts_as_gone(self) -> None:
+        """Guards against targets that work for seconds for a caller that has left."""
+        self.hold("a", "b")
+        self.caller.sendall(read("a") + read("b"))
+        self.wait_until(lambda: len(self.started) == 2)
+        self.caller.close()
+        left_at = monotonic()
+        self.wait_until(lambda: sorted(self.aborted) == ["a", "b"])
+        self.assertLess(monotonic() - left_at, 0.5)
+
     def test_slow_reader_ends_only_its_own_connection(self) -> None:
         self.bodies = {"a": LONG * 4}
         self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -27,8 +27,13 @@
 LINGER_S = 1.0
 MAX_LINGER_BYTES = 1024 * 1024
 _HEAD_END = b"\r\n\r\n"
-# Value of `tcpi_state`, the first byte of TCP_INFO, after a reset.
+# Values of `tcpi_state`, the first byte of TCP_INFO, after a reset and after the end of the input.
 _TCP_STATE_CLOSE = 7
+_TCP_STATE_CLOSE_WAIT = 8
+# A caller that ends its input behind pipelined requests may have closed only its sending side. It
+# gets the responses of this time; then it counts as gone, because targets must not work for half a
+# second for a caller that has left.
+HALF_CLOSE_GRACE_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +184,8 @@
         # input is then taken for a caller that closed only its sending side.
         self._is_pipelining = False
         self._has_input_ended = False
+        # When the end of the input was noticed, on the monotonic clock; 0 before.
+        self._input_ended_at = 0.0
         self._is_reading_ahead = False
         self.max_response_bytes: int | None = None
         self.read_ahead: ReadAhead | None = None
@@ -433,9 +440,14 @@
         try:
             state = self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
         except OSError:
-            state = _TCP_STATE_CLOSE
+            # The system does not tell the state; a failed write will show a reset.
+            state = 0
         if state == _TCP_STATE_CLOSE:
             self.disconnect()
+        elif self._has_input_ended or state == _TCP_STATE_CLOSE_WAIT:
+            self._input_ended_at = self._input_ended_at or monotonic()
+            if monotonic() >= self._input_ended_at + HALF_CLOSE_GRACE_S:
+                self.disconnect()
 
     def _has_unread_input(self) -> bool:
         if self._buffer:
