Hand out tokens of organisations from one allocator

Cause: the usage caps of the configuration are not applied.

Change: the leader hands out tokens and standing rates; an instance that cannot draw admits requests at its standing rate, or by a share of the tolerated excess. Refusals above the cap get 429.

Ruled out: rate / number of instances for each instance without a standing rate, because the allocator cannot tell idle instances from those cut off, so both would hand out the same tokens.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -41,6 +41,7 @@
 )
 from damasktide.loads.messages import PeerReport, incarnation_hash
 from damasktide.loads.task import LoadExchange
+from damasktide.quotas.task import QuotaExchange
 from damasktide.relay.exchange import RelayExchange, RelayGroup
 from damasktide.relay.relayed_store import RelayedStore
 from damasktide.relay.server import ChangesServer
@@ -185,6 +186,16 @@
             self._evacuation_changed,
             on_failure,
         )
+        self._quota_exchange = QuotaExchange(
+            settings.instance,
+            boot_id,
+            self._relay_exchange,
+            lambda: self._assignment.leader.value,
+            self._assignment.leadership,
+            settings.quota_limits,
+            registry,
+            on_failure,
+        )
         followers = {
             adapter.target_table: self._targets.follower,
             adapter.operator_table: self._routing.follower,
@@ -227,6 +238,7 @@
             self._load_exchange.start()
         if self._demand_exchange is not None:
             self._demand_exchange.start()
+        self._quota_exchange.start()
         gevent.spawn(self._mark_ready)
         gevent.spawn(self._run_housekeeping)
         exit_code = self._lifecycle.wait()
@@ -271,6 +283,8 @@
             LinkBudget(self._settings.link_mbps),
             self._record_response,
             self._record_request,
+            self._quota_exchange.take,
+            self._quota_exchange.refund,
         )
 
     def _limits(self) -> CallerLimits:
@@ -301,6 +315,7 @@
         self._assignment.tell(TargetsChanged(view))
 
     def _members_changed(self, members: Members) -> None:
+        self._quota_exchange.set_instances(members.record_by_name.values())
         if self._relay_exchange is None or members.link_key is None:
             return
         peers_by_domain = {
@@ -353,6 +368,7 @@
         self._assignment.store_unavailable()
 
     def _configuration_changed(self, configuration: RoutingConfiguration) -> None:
+        self._quota_exchange.set_organisations(configuration.organisations)
         self._keyed_services = frozenset(
             service.name for service in configuration.service_by_name.values() if service.is_keyed
         )
--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -25,6 +25,7 @@
 from damasktide.http1.errors import BadRequestError, CallError, CallFailure
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
+from damasktide.quotas.messages import MAX_WAIT_S
 from damasktide.targets.target import TargetEntry
 
 # Longest wait of a request whose key is being moved to a new owner.
@@ -68,6 +69,9 @@
         Creates a call to a target.
     on_response
         Called with the incarnation of a target and the metadata of each of its responses.
+    take_token
+        Takes a token of the organisation for a further attempt, for which it waits at most the
+        given seconds; returns whether there is one. The first attempt has its token already.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         instance_count: Callable[[], int],
         open_call: OpenCall,
         on_response: OnResponse = lambda incarnation, metadata: None,
+        take_token: Callable[[float], bool] = lambda max_wait_s: True,
     ) -> None:
         self._request = request
         self._dispatcher = dispatcher
@@ -87,6 +92,9 @@
         self._instance_count = instance_count
         self._open_call = open_call
         self._on_response = on_response
+        self._take_token = take_token
+        # An attempt that cannot have run leaves its token to the next one.
+        self._unused_tokens = 1
         self._call: TargetCall | None = None
         self._open_attempts: list[TargetAttempt] = []
         self._response_deadline = request.deadline + RESPONSE_GRACE_S
@@ -100,6 +108,11 @@
         """Call that returned the response; the remainder of a long body is read from it."""
         return self._call
 
+    @property
+    def unused_tokens(self) -> int:
+        """Number of tokens of the organisation that no attempt has used."""
+        return self._unused_tokens
+
     def abort(self) -> None:
         """Abort all open attempts because the caller has disconnected."""
         self._is_caller_disconnected = True
@@ -125,7 +138,7 @@
                 return result
             self._log_failure(selection, result)
             failure = self._decisive_failure(failure, result)
-            if not self._may_retry(failure):
+            if not self._may_retry(failure) or not self._has_token(MAX_WAIT_S):
                 return self._final_result(None, failure)
             if result.is_misdirected and self._request.service.is_keyed:
                 # The owner has not received its grant yet, or the local map is out of date.
@@ -218,6 +231,7 @@
 
     def _start_attempt(self, selection: TargetSelection) -> TargetAttempt | FailedAttempt:
         """Send the request to a target without waiting for the response."""
+        self._unused_tokens -= 1
         call = self._open_call(self._request, selection.entry, self._used_connections)
         attempt = TargetAttempt(call, selection)
         self._open_attempts.append(attempt)
@@ -282,7 +296,7 @@
         selection = self._dispatcher.choose(now, self._query(now, None))
         if isinstance(selection, NoTarget):
             return None
-        if not selection.has_free_slot:
+        if not selection.has_free_slot or not self._has_token(0.0):
             # When the target is busy, a hedge would only delay other requests.
             self._dispatcher.record_outcome(
                 now, self._call_outcome(selection, 0.0, is_abandoned=True)
@@ -295,6 +309,11 @@
             return None
         return attempt
 
+    def _has_token(self, max_wait_s: float) -> bool:
+        if self._unused_tokens == 0 and self._take_token(max_wait_s):
+            self._unused_tokens += 1
+        return self._unused_tokens > 0
+
     def _abandon(self, attempt: TargetAttempt) -> None:
         if attempt in self._open_attempts:
             attempt.is_abandoned = True
@@ -306,6 +325,7 @@
         head, metadata, call = response.head, response.metadata, attempt.call
         if metadata.is_not_run:
             call.finish()
+            self._unused_tokens += 1
             self._record_response(
                 attempt,
                 response,
@@ -342,6 +362,8 @@
             is_unreachable=is_unreachable,
             is_abandoned=is_cancelled,
         )
+        if error.failure.excludes_execution:
+            self._unused_tokens += 1
         return FailedAttempt(error.failure.excludes_execution, str(error))
 
     def _record_response(
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -32,7 +32,8 @@
 from damasktide.http1.pool import ConnectionPool
 from damasktide.http1.server_connection import ServerConnection
 from damasktide.keyspace.key_map import KeyMap
-from damasktide.organisations.organisation import CallerIdentity
+from damasktide.organisations.organisation import CallerIdentity, Organisation
+from damasktide.quotas.messages import MAX_WAIT_S
 from damasktide.routing.configuration import Route, RoutingConfiguration, Service
 from damasktide.routing.splitter import TrafficSplitter
 from damasktide.routing.task import RoutingActivated
@@ -74,6 +75,11 @@
         Called with the incarnation of a target and the metadata of each of its responses.
     on_request
         Called with each request before its first attempt.
+    take_token
+        Takes a token of an organisation, for which it waits at most the given seconds; returns
+        0.0, or the seconds until one can be expected.
+    refund_token
+        Returns a token that was not used.
     """
 
     dialect: Dialect
@@ -90,6 +96,8 @@
     link: LinkBudget = field(default_factory=lambda: LinkBudget(0.0))
     on_response: OnResponse = lambda incarnation, metadata: None
     on_request: Callable[[GatewayRequest], None] = lambda request: None
+    take_token: Callable[[Organisation, float], float] = lambda organisation, max_wait_s: 0.0
+    refund_token: Callable[[Organisation], None] = lambda organisation: None
 
 
 class GatewayHandler:
@@ -165,13 +173,21 @@
             regions = regions & organisation.regions if regions else organisation.regions
             if not regions:
                 return Refusal(403, Reason.NO_REGION, "no region may serve this request")
+        wait_s = self._take_token(organisation)
+        if wait_s:
+            return Refusal(429, Reason.OVER_CAP, "the usage cap is reached", wait_s)
         service_name = self._splitter.choose(route)
         service = routing.configuration.service_by_name.get(service_name, Service(service_name))
         self._allowance(service_name).count_request(monotonic())
         wait_s = self._context.link.reserve(monotonic(), route.name)
         if wait_s:
+            self._refund_tokens(organisation, 1)
             return not_run_refusal(Reason.OVERLOADED, "the link is full", wait_s)
-        body = read_body(caller)
+        try:
+            body = read_body(caller)
+        except BadRequestError:
+            self._refund_tokens(organisation, 1)
+            raise
         deadline, caller_deadline = deadlines(route, metadata, caller.received_at)
         rank = routing.table.rank(route, service_name, organisation)
         return GatewayRequest(
@@ -200,12 +216,14 @@
             self._context.instance_count,
             self._open_call,
             self._context.on_response,
+            lambda max_wait_s: not self._take_token(request.organisation, max_wait_s),
         )
         caller.watch_for_disconnect(attempts.abort)
         try:
             result = attempts.run()
         finally:
             caller.stop_watching()
+            self._refund_tokens(request.organisation, attempts.unused_tokens)
         if caller.is_disconnected:
             if attempts.call is not None:
                 attempts.call.close()
@@ -317,6 +335,18 @@
             request.identity,
         )
 
+    def _take_token(
+        self, organisation: Organisation | None, max_wait_s: float = MAX_WAIT_S
+    ) -> float:
+        if organisation is None:
+            return 0.0
+        return self._context.take_token(organisation, max_wait_s)
+
+    def _refund_tokens(self, organisation: Organisation | None, count: int) -> None:
+        if organisation is not None:
+            for _ in range(count):
+                self._context.refund_token(organisation)
+
     def _allowance(self, service: str) -> RetryAllowance:
         allowance = self._allowance_by_service.get(service)
         if allowance is None:
--- a/packages/damasktide/src/damasktide/gateway/refusals.py
+++ b/packages/damasktide/src/damasktide/gateway/refusals.py
@@ -12,6 +12,7 @@
     MALFORMED = "malformed"
     NO_ROUTE = "no_route"
     UNAUTHENTICATED = "unauthenticated"
+    OVER_CAP = "over_cap"
     NO_REGION = "no_region"
     STARTING = "starting"
     NO_TARGET = "no_target"
--- a/packages/damasktide/src/damasktide/keyspace/assignment_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_task.py
@@ -185,6 +185,11 @@
         """The followers of this task, by table."""
         return {TABLE: self._follower, LEADER_TABLE: self._leader_follower}
 
+    @property
+    def leadership(self) -> Leadership:
+        """The lease that elects the leader; other greenlets only read it."""
+        return self._assignment.leadership
+
     def store_unavailable(self) -> None:
         """Interrupt a waiting store call, because another call found the store unavailable."""
         self._follower.interrupt()
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -24,6 +24,9 @@
 MAX_READ_AGE_S = 3.0
 # Upper bound on the difference in rate between two clocks.
 CLOCK_RATE_ERROR = 0.01
+# A leader may act as the only one for this long after its last write. Another instance takes over
+# after TAKEOVER_AFTER_S at the earliest.
+SOLE_LEADER_S = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,11 @@
         lease_ends_at = self._write_requested_at + LEADER_RENEWAL_LEASE_S
         return self.is_leader and now < min(lease_ends_at, self._renewals_end_at)
 
+    def may_allocate(self, now: float) -> bool:
+        """Return whether this process is the leader and no other one can be."""
+        is_recent = now < self._write_requested_at + SOLE_LEADER_S
+        return is_recent and self.is_leader and not self._has_resigned
+
     def took_over_at(self) -> float:
         """Return when this process learned that its write had made it the leader."""
         return self._took_over_at
--- a/packages/damasktide/src/damasktide/limits/token_bucket.py
+++ b/packages/damasktide/src/damasktide/limits/token_bucket.py
@@ -41,6 +41,13 @@
         self._tokens -= tokens
         return True
 
+    def take_whole(self, now: float, limit: int, kept: float = 0.0) -> int:
+        """Take at most ``limit`` whole tokens and leave ``kept``; return the number taken."""
+        self._refill(now)
+        taken = max(0, min(limit, int(self._tokens - kept)))
+        self._tokens -= taken
+        return taken
+
     def charge(self, now: float, tokens: float) -> None:
         """Take ``tokens`` for a cost already incurred, even if the count becomes negative."""
         self._refill(now)
--- /dev/null
+++ b/packages/damasktide/src/damasktide/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Usage caps of organisations over all instances."""
--- a/packages/damasktide/src/damasktide/relay/exchange.py
+++ b/packages/damasktide/src/damasktide/relay/exchange.py
@@ -126,6 +126,11 @@
             return None
         return result.unwrap()
 
+    def drop_link(self, peer: RelayPeer) -> None:
+        """Close the link to ``peer``; the next call opens it again."""
+        if self._client is not None:
+            self._client.tell(DropLink(peer.address))
+
     def on_stop(self) -> None:
         """Close all links."""
         if self._server is not None:
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from damasktide.dispatch.retry_allowance import RetryLimits
+from damasktide.quotas.limits import QuotaLimits
 from damasktide.settings.model import Address
 
 
@@ -27,6 +28,8 @@
         Address of the platform's store.
     retry_limits
         Limits on retries over all instances.
+    quota_limits
+        Bound on the requests of an organisation with a usage cap.
     stop_grace_s
         Seconds from the stop signal to the end of the process.
     peer_listen
@@ -50,6 +53,7 @@
     readiness: Address
     store: Address
     retry_limits: RetryLimits = field(default_factory=RetryLimits)
+    quota_limits: QuotaLimits = field(default_factory=QuotaLimits)
     stop_grace_s: float = 6.0
     longest_hold_s: float = 10.0
     peer_listen: Address | None = None
