--- a/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
@@ -44,6 +44,19 @@
     def test_row_is_not_taken_over_before_it_was_read(self) -> None:
         self.assertFalse(self.lease.is_write_due(100.0))
 
+    def test_leader_stops_acting_as_the_only_one_before_another_can_take_over(self) -> None:
+        """Guards against two instances that hand out the same tokens."""
+        self.lease.observe(0.0, OTHER)
+        self.take_over(3.0)
+        self.assertTrue(self.lease.may_allocate(3.0 + 1.1))
+        self.assertFalse(self.lease.may_allocate(3.0 + TAKEOVER_AFTER_S - 0.1))
+
+    def test_leader_that_resigned_does_not_allocate(self) -> None:
+        self.lease.observe(0.0, OTHER)
+        self.take_over(3.0)
+        self.lease.resign(3.1)
+        self.assertFalse(self.lease.may_allocate(3.1))
+
     def test_predecessor_may_renew_until_its_renewal_lease_ends(self) -> None:
         self.lease.observe(0.0, OTHER)
         self.take_over(3.0)
--- a/packages/damasktide/src/damasktide/quotas/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/quotas/tests/simulation.py
@@ -241,7 +241,8 @@
         self.time.spawn(instance, self._request, instance, organisation, tries)
 
     def _request(self, instance: Instance, organisation: Organisation, tries: int) -> None:
-        in_force = next(o for o in instance.exchange._organisations if o.name == organisation.name)
+        usage = instance.exchange._holder.usage(organisation.name)
+        in_force = usage.organisation if usage is not None else organisation
         wait_s = instance.exchange.take(in_force)
         if not wait_s:
             self.admitted_at[organisation.name].append(self.time.now())
