--- a/packages/damasktide/src/damasktide/quotas/task.py
+++ b/packages/damasktide/src/damasktide/quotas/task.py
@@ -8,7 +8,7 @@
 
 from gevent.event import Event
 from loguru import logger
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry
 
 from damasktide.keyspace.table import InstanceRecord
 from damasktide.organisations.organisation import Organisation
@@ -30,6 +30,7 @@
     DrawStatus,
     name_id,
 )
+from damasktide.quotas.metrics import QuotaMetrics
 from damasktide.relay.exchange import RelayExchange
 from damasktide.relay.tree import RelayPeer
 from damasktide.runtime.clock import Clock, LeaseClock
@@ -124,20 +125,7 @@
         # was known then.
         self._referral: tuple[RelayPeer, RelayPeer | None] | None = None
         self._drawn = Event()
-        self._tokens_drawn = Counter(
-            "damasktide_quota_tokens", "Tokens of organisations drawn.", registry=registry
-        )
-        self._draws = Counter(
-            "damasktide_quota_draws",
-            "Draws of tokens from the allocator.",
-            ("outcome",),
-            registry=registry,
-        )
-        self._over_cap = Counter(
-            "damasktide_quota_over_cap",
-            "Requests above the cap of their organisation.",
-            registry=registry,
-        )
+        self._metrics = QuotaMetrics(registry)
         if relay is not None:
             relay.serve(QUOTA_KIND, self._serve)
 
@@ -182,7 +170,7 @@
             return 0.0
         if self._draw_and_wait(usage, max_wait_s):
             return 0.0
-        self._over_cap.inc()
+        self._metrics.record_over_cap()
         return self._holder.retry_after_s(self._clock.now(), usage)
 
     def refund(self, organisation: Organisation) -> None:
@@ -256,9 +244,7 @@
             drawn = self._holder.finish_draw(self._clock.now(), sent_at, request, reply)
         finally:
             self._is_drawing = False
-        self._tokens_drawn.inc(drawn)
-        outcome = "no_reply" if reply is None else reply.status.name.lower()
-        self._draws.labels(outcome).inc()
+        self._metrics.record_draw(reply, drawn)
         drawn_event, self._drawn = self._drawn, Event()
         drawn_event.set()
 
--- a/packages/damasktide/src/damasktide/quotas/tests/test_tokens.py
+++ b/packages/damasktide/src/damasktide/quotas/tests/test_tokens.py
@@ -76,6 +76,15 @@
         holder.finish_draw(self.now, sent_at, request, reply)
         return admitted if is_online else 0
 
+    def test_tokens_expire_while_the_instance_is_frozen(self) -> None:
+        """Guards against the use of tokens that the allocator has handed out again."""
+        for _ in range(8):
+            self.step(0, 2, "answered")
+            self.now += 0.25
+        usage = self.usages()[0]
+        self.assertGreater(usage.held, 0)
+        self.assertFalse(self.holders[0].take(self.now + 1.0, usage))
+
     @settings(max_examples=150, deadline=None)
     @given(st.lists(STEPS, max_size=40))
     def test_tokens_are_never_doubled(self, steps: list[tuple[int, int, str, float]]) -> None:
--- a/packages/damasktide/src/damasktide/telemetry/reference.py
+++ b/packages/damasktide/src/damasktide/telemetry/reference.py
@@ -4,7 +4,10 @@
 from pathlib import Path
 
 import click
+from prometheus_client import CollectorRegistry
 
+from damasktide.gateway.telemetry import GatewayTelemetry
+from damasktide.quotas.metrics import QuotaMetrics
 from damasktide.telemetry.metrics import FAMILIES, PREFIX
 
 DEFAULT_OUTPUT = Path("docs/operators/metrics.md")
@@ -13,6 +16,9 @@
     f"are sent to statsd each second; all names start with `{PREFIX}.`. A timer sends a uniform "
     "sample of its durations, in milliseconds, so use the counters for rates."
 )
+_GATEWAY_INTRODUCTION = (
+    "Served as text at `/metrics` of the readiness address; counters have the suffix `_total`."
+)
 
 
 def render_page() -> str:
@@ -32,6 +38,19 @@
         yield "| --- | --- | --- |"
         for metric in FAMILIES.get(family)():
             yield f"| `{metric.name}` | {metric.kind.value} | {metric.description} |"
+    yield ""
+    yield "## Gateway on a platform"
+    yield ""
+    yield _GATEWAY_INTRODUCTION
+    yield ""
+    yield "| name | type | meaning |"
+    yield "| --- | --- | --- |"
+    registry = CollectorRegistry()
+    GatewayTelemetry(registry)
+    QuotaMetrics(registry)
+    for metric_family in registry.collect():
+        name, kind = metric_family.name, metric_family.type
+        yield f"| `{name}` | {kind} | {metric_family.documentation} |"
 
 
 @click.command()
