Serve the allocator's own requests without a call

Cause: a leader that had just lost or gained its role could ask another instance in the greenlet of a request, for longer than a request waits. One lost draw made an instance ignore the referral to a new leader until it learned of it from the store.

Change: the instance that may allocate draws from itself only; a referral is ignored once after a draw without a reply.

--- a/packages/damasktide/src/damasktide/quotas/task.py
+++ b/packages/damasktide/src/damasktide/quotas/task.py
@@ -121,6 +121,7 @@
         self._is_woken = False
         self._failures_in_a_row = 0
         self._silent_draws_by_peer: dict[str, int] = {}
+        self._doubted_names: set[str] = set()
         # The allocator by what another instance says, as long as the known leader is the one that
         # was known then.
         self._referral: tuple[RelayPeer, RelayPeer | None] | None = None
@@ -224,17 +225,14 @@
         return False
 
     def _await_draw(self, usage: Usage, ticket: int, until: float) -> None:
-        if self._is_allocator() and not self._is_drawing:
+        if self._role.may_allocate(self._clock.now()) and not self._is_drawing:
+            # The allocator is in this process, so the draw does not block.
             self._draw()
             return
         self._wake()
         while ticket >= usage.first_unresolved and monotonic() < until:
             self._drawn.wait(until - monotonic())
 
-    def _is_allocator(self) -> bool:
-        leader = self._leader()
-        return leader is not None and leader.name == self._name
-
     def _draw(self) -> None:
         self._is_drawing = True
         try:
@@ -250,6 +248,8 @@
 
     def _call_allocator(self, request: DrawRequest) -> DrawReply | None:
         """Send a draw to the allocator; return its reply, or None if there is none."""
+        if self._role.may_allocate(self._clock.now()):
+            return self._reply_to(self._own_id, request)
         reply = None
         for _ in range(1 + MAX_REFERRALS):
             peer = self._allocator_peer()
@@ -276,6 +276,7 @@
             self._record_silence(peer)
             return None
         self._silent_draws_by_peer.pop(peer.name, None)
+        self._doubted_names.discard(peer.name)
         try:
             return decode_reply(body)
         except MalformedDrawError as error:
@@ -285,6 +286,7 @@
     def _record_silence(self, peer: RelayPeer) -> None:
         if self._referral is not None and self._referral[0] == peer:
             self._referral = None
+        self._doubted_names.add(peer.name)
         count = self._silent_draws_by_peer.get(peer.name, 0) + 1
         self._silent_draws_by_peer[peer.name] = count
         if count % SILENT_DRAWS_PER_LINK == 0 and self._relay is not None:
@@ -320,7 +322,9 @@
         referred = self._peer_by_id.get(reply.epoch)
         if referred is None or referred.name == peer.name:
             return False
-        if referred.name in self._silent_draws_by_peer:
+        if referred.name in self._doubted_names:
+            # It has just not replied, and ``peer`` may not know yet that it has ended.
+            self._doubted_names.discard(referred.name)
             return False
         self._referral = (referred, self._leader())
         self._failures_in_a_row = 0
