--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -33,7 +33,7 @@
 # A caller that ends its input behind pipelined requests may have closed only its sending side. It
 # gets the responses of this time; then it counts as gone, because targets must not work for half a
 # second for a caller that has left.
-HALF_CLOSE_GRACE_S = 0.3
+HALF_CLOSE_GRACE_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
