Build versions that rise when the store returns from an older copy

A restored store issues its version numbers again, so a version alone no longer tells which row is newer, and a condition could hold for a row that another instance has written since.

Ruled out: comparing numbers within the tables' readers, because each of them would need to know when the store was restored; keeping the last number seen as an offset, because two instances would build different versions.

Where the field is absent, versions are the store's numbers as before.

--- a/packages/damasktide/src/damasktide/relay/server.py
+++ b/packages/damasktide/src/damasktide/relay/server.py
@@ -18,6 +18,7 @@
 )
 from damasktide.relay.table_sources import TableSources
 from damasktide.rows.snapshot import TableSnapshot
+from damasktide.rows.store import era_of
 from damasktide.runtime.clock import Clock
 from damasktide.runtime.published import Published
 
@@ -72,6 +73,9 @@
             snapshot = published.value
             if snapshot is None:
                 return ChangesRefused("not read yet")
+            if era_of(snapshot.version) < era_of(request.after):
+                # The requester would take its own rows for confirmed.
+                return ChangesRefused("the store has been restored since")
             now = self._clock.now()
             confirmed_at = max(
                 snapshot.requested_at, self._table_sources.confirmed_at(request.table)
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -16,6 +16,7 @@
     StoreNotCalledError,
     StoreUnavailableError,
     TableState,
+    era_of,
 )
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
@@ -280,7 +281,12 @@
 
     def _read(self, requested_at: float) -> FollowerMessage:
         started_at = monotonic()
-        return self._table_read(self._store.read_table(self._table), requested_at, started_at)
+        state = self._store.read_table(self._table)
+        known = self.snapshot.value
+        if known is not None and era_of(state.version) < era_of(known.version):
+            # From another instance that does not know yet that the store was restored.
+            raise StoreUnavailableError("the table was read before the store was restored")
+        return self._table_read(state, requested_at, started_at)
 
     def _table_read(
         self, state: TableState, requested_at: float, started_at: float
--- a/packages/damasktide/src/damasktide/rows/snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/snapshot.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Hashable, Mapping
 from dataclasses import dataclass, field, replace
 
-from damasktide.rows.store import Changes, Row, TableState
+from damasktide.rows.store import Changes, Row, TableState, era_of
 
 # Number of deleted rows that are remembered; a reader that is further behind reads the complete
 # table.
@@ -74,7 +74,8 @@
         """Return the snapshot after another complete read; rows that it lacks were deleted.
 
         If the store has lost its history, it may have hidden changes while it reported newer
-        versions. A reader may have such a version, so it reads the complete table as well.
+        versions. A reader may have such a version, so it reads the complete table as well. So do
+        the readers of a store that was restored from an older copy.
         """
         listed = {row.key for row in state.rows}
         missing = tuple(
@@ -85,7 +86,7 @@
         found = self.updated(
             Changes((*state.rows, *missing), state.version), requested_at, fingerprint
         )
-        if not is_history_lost:
+        if not is_history_lost and era_of(state.version) == era_of(self.version):
             return found
         return replace(found, complete_since=max(found.complete_since, state.version))
 
--- a/packages/damasktide/src/damasktide/rows/store.py
+++ b/packages/damasktide/src/damasktide/rows/store.py
@@ -4,6 +4,29 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+# Bits of a version that count the writes of one era; the bits above are the era. A store that was
+# restored from an older copy is in the next era. It issues the same numbers again, so versions
+# rise over restores only with the era. A store that does not state its era is in era 0.
+ERA_SHIFT = 40
+
+
+def era_of(version: int) -> int:
+    """Return the era of the store in which ``version`` was read or written."""
+    return version >> ERA_SHIFT
+
+
+def number_of(version: int) -> int:
+    """Return the number that the store itself gave to ``version``.
+
+    A row that is in the copy keeps its number when the store is restored.
+    """
+    return version & ((1 << ERA_SHIFT) - 1)
+
+
+def version_of(era: int, number: int) -> int:
+    """Return the version for a ``number`` issued by the store, read in ``era``."""
+    return (era << ERA_SHIFT) | number
+
 
 @dataclass(frozen=True, slots=True)
 class Row:
@@ -16,7 +39,7 @@
     value
         Bytes; empty for a deleted row.
     version
-        Version of the store at the row's last change.
+        Version of the store at the row's last change, read in the store's current era.
     is_dropped
         Whether the row no longer exists.
     """
