Keep one owner of each key when the store returns from an older copy

After a restore, the rows of the leader and of the maps may be older than what instances have acted on. A leader that granted by such a map gave keys to a second target, and issued tokens a second time.

Rows of the leader and of maps now state the era in which they were written. A map of an earlier era is not acted on until all grants by maps that the store may have lost have ended; a leader that the restored row still names goes on renewing what it had granted. If it has written its row shortly before, no other instance can have led, so it writes its maps again at once. The map with the highest fencing token wins; an instance that does not lead writes it back. Registrations and the link key are written again, rows of ended processes are ignored, and a registration ends a leader only if it is newer than the leader's row. A requested read now wakes a follower that pauses between calls: in a soak the leader read its restored row 1.7 s late and was replaced meanwhile.

--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -9,6 +9,7 @@
 from damasktide.keyspace.balancer import KeyBalancer
 from damasktide.keyspace.grant_expiry import GrantExpiryTracker
 from damasktide.keyspace.key_map import Incarnation, KeyMap, KeyRange, merge_adjacent
+from damasktide.keyspace.known_maps import KnownMaps
 from damasktide.keyspace.leadership import LeaderRecord, Leadership
 from damasktide.keyspace.messages import (
     Command,
@@ -27,6 +28,7 @@
 from damasktide.keyspace.path_delay import MAX_ARRIVAL_DELAY_S, PathDelay
 from damasktide.keyspace.planner import FENCE_STEP, Holder
 from damasktide.keyspace.reachability import ReachabilityTracker
+from damasktide.rows.store import era_of
 from damasktide.targets.target import TargetEntry, TargetView
 
 # The keys of a lost target can move only after its hold has expired, and must be served again
@@ -45,6 +47,9 @@
 # Pause after a map write that got no response or was refused. A store that refuses calls responds
 # within milliseconds, and each call is billed.
 MAP_WRITE_RETRY_S = 0.4
+# After a restore, an instance that does not lead writes a map that is newer than its row after
+# this time and up to as much again, so that the leader comes first and one of the others next.
+RESTORED_MAP_DELAY_S = 1.0
 
 # Service, first key, last key and fencing token.
 _RangeKey = tuple[str, int, int, int]
@@ -82,7 +87,12 @@
         self._view = TargetView()
         self._entry_by_incarnation: dict[Incarnation, TargetEntry] = {}
         self._cold_until_by_incarnation: dict[Incarnation, float] = {}
-        self._map_by_service: dict[str, KeyMap] = {}
+        self._maps = KnownMaps()
+        # Ranges of the known maps that this leader had granted when the store was restored.
+        self._renewable_ranges: frozenset[_RangeKey] = frozenset()
+        # The takeover after which it had granted them; they are not renewed after another one.
+        self._renewable_since = float("-inf")
+        self._restored_map_due_at_by_service: dict[str, float] = {}
         self._sent_at_by_range: dict[_RangeKey, float] = {}
         self._pending_grants: set[_RangeKey] = set()
         self._fenced_ranges: set[_RangeKey] = set()
@@ -101,8 +111,8 @@
 
     @property
     def map_by_service(self) -> Mapping[str, KeyMap]:
-        """The maps as last read from the store."""
-        return self._map_by_service
+        """The newest known maps."""
+        return self._maps.by_service
 
     @property
     def leadership(self) -> Leadership:
@@ -138,16 +148,35 @@
 
     def observe_map(self, key_map: KeyMap) -> None:
         """Apply a map read from the store, unless it is older than the known one."""
-        known = self._map_by_service.get(key_map.service)
-        if known is None or key_map.version > known.version:
-            self._map_by_service[key_map.service] = key_map
+        self._maps.observe(key_map)
+
+    def observe_era(self, now: float, version: int) -> None:
+        """Record the version of a response before its rows; its era may be a new one."""
+        era = era_of(version)
+        if era <= self._maps.era:
+            self._maps.observe_era(era)
+            self._leadership.observe_era(now, era)
+            return
+        renewable_ranges = frozenset(self._granted_ranges(now))
+        knows_newest_maps = self._table_requested_at > self._leadership.took_over_at() and not any(
+            self._may_be_outdated(key_map) for key_map in self._maps.by_service.values()
+        )
+        is_leader = self._leadership.is_leader
+        self._leadership.observe_era(now, era, knows_newest_maps)
+        if self._maps.observe_era(era):
+            self._renewable_ranges = renewable_ranges
+            self._renewable_since = self._leadership.took_over_at()
+            logger.bind(era=era, is_leader=is_leader).warning(
+                "the store was restored from an older copy"
+            )
 
-    def record_table_read(self, requested_at: float) -> None:
+    def record_table_read(self, requested_at: float, version: int = 0) -> None:
         """Record a read of the complete table that was requested at ``requested_at``.
 
-        A map that this read did not return does not exist.
+        A map that this read, which is complete up to ``version``, did not return has no row.
         """
         self._table_requested_at = max(self._table_requested_at, requested_at)
+        self._maps.record_complete_read(version)
 
     def commands(self, now: float) -> Iterator[Command]:
         """Yield the commands that are due; must be called several times a second."""
@@ -157,7 +186,10 @@
                 self._leadership.record.version,
                 self._leadership.earlier_renewals_s(now),
                 self._leadership.has_resigned,
+                self._maps.era,
+                self._leadership.lost_renewals_s(now),
             )
+        yield from self._restored_map_writes(now)
         if not self._leadership.may_renew(now):
             return
         if self._table_requested_at <= self._leadership.took_over_at():
@@ -169,8 +201,10 @@
             return
         self._refence_transfers()
         for service in sorted(self._services):
-            key_map = self._map_by_service.get(service, KeyMap(service))
+            key_map = self._maps.by_service.get(service, KeyMap(service))
             yield from self._grants(now, key_map)
+            if self._may_be_outdated(key_map) and not self._have_lost_grants_ended(now, key_map):
+                continue
             yield from self._transfers(now, key_map)
             if self._may_write_map(now, service):
                 yield from self._map_writes(now, key_map)
@@ -245,7 +279,9 @@
         self._services_being_written.discard(key_map.service)
         if written.result is WriteResult.WRITTEN:
             self.observe_map(replace(key_map, version=written.version))
-        elif written.result is WriteResult.UNKNOWN:
+        elif written.result is WriteResult.CONFLICT:
+            self._maps.forget_rewrite(key_map.service)
+        else:
             self._map_write_due_at_by_service[key_map.service] = now + MAP_WRITE_RETRY_S
 
     def handle_leader_written(self, now: float, written: LeaderWritten) -> None:
@@ -259,12 +295,13 @@
             return
         was_leader = self._leadership.is_leader
         self._leadership.record_write(now, written.requested_at, written.version)
-        if not was_leader:
+        if self._leadership.is_leader and not was_leader:
             logger.bind(version=written.version).info("became the leader")
 
     def observe_leader(self, now: float, record: LeaderRecord) -> None:
         """Apply the leader's row as read from the store."""
         was_leader = self._leadership.is_leader
+        self.observe_era(now, record.version)
         self._leadership.observe(now, record)
         if was_leader and not self._leadership.is_leader:
             logger.bind(leader=record.instance, version=record.version).info("no longer leader")
@@ -277,6 +314,7 @@
         return (
             service not in self._services_being_written
             and not self._leadership.is_writing
+            and era_of(self._leadership.record.version) == self._maps.era
             and now >= self._map_write_due_at_by_service.get(service, now)
         )
 
@@ -286,14 +324,90 @@
         if self._refenced_at == took_over_at:
             return
         self._refenced_at = took_over_at
-        for service, key_map in self._map_by_service.items():
+        for service, key_map in self._maps.by_service.items():
             for key_range in key_map.ranges:
                 if not key_range.is_settled:
                     self._fenced_ranges.add(
                         (service, key_range.first, key_range.last, key_range.fence)
                     )
 
+    def _granted_ranges(self, now: float) -> Iterator[_RangeKey]:
+        """Yield the ranges that this leader may have granted under the known maps.
+
+        It may renew them after a restore. An instance that led between this one's last write and
+        the restore had to wait for the end of this one's renewals, unless it fenced them off.
+        """
+        if (
+            not self._leadership.may_renew(now)
+            or self._table_requested_at <= self._leadership.took_over_at()
+        ):
+            return
+        for service, key_map in self._maps.by_service.items():
+            is_outdated = self._may_be_outdated(key_map)
+            for key_range in key_map.ranges:
+                key = (service, key_range.first, key_range.last, key_range.fence)
+                if (
+                    key_range.is_settled
+                    and key in self._sent_at_by_range
+                    and (not is_outdated or self._is_renewable(key))
+                ):
+                    yield key
+
+    def _is_renewable(self, key: _RangeKey) -> bool:
+        return (
+            key in self._renewable_ranges
+            and self._renewable_since == self._leadership.took_over_at()
+        )
+
+    def _may_be_outdated(self, key_map: KeyMap) -> bool:
+        """Return whether targets may hold keys by a newer map, which the store has lost."""
+        return self._maps.is_of_earlier_era(key_map) and not self._leadership.is_sole_leader
+
+    def _have_lost_grants_ended(self, now: float, key_map: KeyMap) -> bool:
+        """Return whether all grants that leaders made before a restore have ended."""
+        if era_of(self._leadership.record.version) < self._maps.era:
+            # The leader's row has not been read since the restore.
+            return False
+        if not key_map.ranges and not self._leadership.has_seen_restore:
+            # The first map of the service.
+            return True
+        max_arrival_delay_s = max(
+            (
+                self._path_delay.max_arrival_delay_s(now, entry.domain)
+                for entry in self._entry_by_incarnation.values()
+            ),
+            default=MAX_ARRIVAL_DELAY_S,
+        )
+        return (
+            now
+            >= self._leadership.lost_renewals_end_at()
+            + max_arrival_delay_s
+            + self._grant_expiry.longest_hold_s
+        )
+
+    def _restored_map_writes(self, now: float) -> Iterator[WriteMap]:
+        """Yield writes of maps that are newer than their rows, if this instance does not lead.
+
+        A leader that does not know them adopts them once it has read them.
+        """
+        outranked = self._maps.outranked_services
+        for service in sorted(outranked):
+            due_at = self._restored_map_due_at_by_service.setdefault(
+                service, now + self._leadership.random_delay_s(RESTORED_MAP_DELAY_S)
+            )
+            is_due = now >= max(due_at, self._map_write_due_at_by_service.get(service, now))
+            if (
+                is_due
+                and not self._leadership.is_leader
+                and service not in self._services_being_written
+            ):
+                self._services_being_written.add(service)
+                yield WriteMap(self._maps.by_service[service], None)
+        for service in set(self._restored_map_due_at_by_service) - outranked:
+            del self._restored_map_due_at_by_service[service]
+
     def _grants(self, now: float, key_map: KeyMap) -> Iterator[Grant]:
+        may_be_outdated = self._may_be_outdated(key_map)
         for key_range in key_map.ranges:
             key = (key_map.service, key_range.first, key_range.last, key_range.fence)
             entry = self._view.entry_by_id.get(key_range.holder[0])
@@ -307,6 +421,8 @@
                 continue
             if key in self._fenced_ranges or not key_range.is_settled:
                 continue
+            if may_be_outdated and not self._is_renewable(key):
+                continue
             if self._grant_expiry.has_process_ended(key_range.holder):
                 # Another process may listen at the address by now, and must not get this grant.
                 continue
@@ -386,9 +502,10 @@
         return True
 
     def _map_writes(self, now: float, key_map: KeyMap) -> Iterator[WriteMap]:
-        settled = self._with_settled_transfers(now, key_map)
+        settled = self._with_settled_transfers(now, self._maps.in_current_era(key_map))
         changed = self._balancer.assign(now, settled, self._holders(now, key_map))
-        if changed.ranges == key_map.ranges:
+        is_rewritten = changed.era != key_map.era and bool(key_map.ranges)
+        if changed.ranges == key_map.ranges and not is_rewritten:
             return
         self._services_being_written.add(key_map.service)
         yield WriteMap(changed, self._leadership.record.version)
@@ -451,7 +568,7 @@
         """Forget the entries of targets that are neither listed nor named in a map."""
         named = {
             incarnation
-            for key_map in self._map_by_service.values()
+            for key_map in self._maps.by_service.values()
             for key_range in key_map.ranges
             for incarnation in (key_range.holder, key_range.previous)
         }
--- a/packages/damasktide/src/damasktide/keyspace/assignment_task.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_task.py
@@ -39,11 +39,12 @@
     MAP_PREFIX,
     TABLE,
     InstanceRecord,
+    instance_key,
 )
 from damasktide.relay.tree import RelayPeer, relay_order, upstream
 from damasktide.rows.follower import PollSchedule, TableChanged, TableFollower, TableRead
 from damasktide.rows.snapshot import version_fingerprint
-from damasktide.rows.store import Row, RowStore
+from damasktide.rows.store import Row, RowStore, era_of
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Stop, Task, TaskFailed, every, handles
@@ -151,6 +152,7 @@
         self.instances: Published[RegisteredInstances] = Published(RegisteredInstances())
         self.leader: Published[RelayPeer | None] = Published(None)
         self._name = instance.name
+        self._boot = instance.boot
         self._region_by_domain = region_by_domain or {}
         self._clock = LeaseClock()
         self._codec = codec
@@ -171,7 +173,15 @@
         self._sender_by_address: dict[tuple[str, int], CommandSender] = {}
         self._members = Members({})
         self._record_by_name: dict[str, InstanceRecord] = {}
+        # Versions of the rows of the registrations.
+        self._version_by_name: dict[str, int] = {}
+        # Names and boot ids of processes that have ended, whose rows a restore may bring back.
+        self._ended_processes: set[tuple[str, str]] = set()
         self._link_key: bytes | None = None
+        # The row of the link key, which differs from the key in use after a restore.
+        self._link_key_row: Row | None = None
+        self._era_by_table: dict[str, int] = {}
+        self._has_resigned = False
         self._has_read_maps = False
 
     def on_start(self) -> None:
@@ -198,12 +208,15 @@
 
     @every(LINK_KEY_RETRY_INTERVAL_S)
     def _provide_link_key(self) -> None:
-        if (
-            self._has_read_maps
-            and self._link_key is None
-            and self._assignment.leadership.is_leader
-        ):
-            self._writer.tell(WriteLinkKey())
+        if not self._has_read_maps:
+            return
+        if self._link_key is None:
+            if self._assignment.leadership.is_leader:
+                self._writer.tell(WriteLinkKey())
+        elif self._link_key_row is None or self._link_key_row.value != self._link_key:
+            # The store was restored; the running instances keep the key that they share.
+            version = self._link_key_row.version if self._link_key_row is not None else 0
+            self._writer.tell(WriteLinkKey(self._link_key, version))
 
     @handles(TargetsChanged)
     def _targets_changed(self, message: TargetsChanged) -> None:
@@ -221,11 +234,15 @@
 
     @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
-        self._apply_rows(message.state.rows)
+        state = message.state
+        is_restored = self._observe_era(message.table, state.version)
+        if is_restored and message.table == TABLE:
+            self._rewrite_own_rows(state.rows)
+        self._apply_rows(state.rows)
         if message.table == LEADER_TABLE:
-            self._assignment.leadership.record_complete_read(self._clock.now())
+            self._assignment.leadership.record_complete_read(self._clock.now(), state.version)
             return
-        self._assignment.record_table_read(message.requested_at)
+        self._assignment.record_table_read(message.requested_at, state.version)
         if not self._has_read_maps:
             # Without a link key each instance would call the store for every change.
             self._writer.tell(RegisterInstance(provides_link_key=self._link_key is None))
@@ -234,6 +251,7 @@
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
+        self._observe_era(message.table, message.changes.version)
         self._apply_rows(message.changes.rows)
         if message.table == TABLE:
             self._publish()
@@ -264,10 +282,38 @@
 
     @handles(Resign)
     def _resign(self, message: Resign) -> None:
+        self._has_resigned = True
         self._assignment.resign(self._clock.now())
         self._tick()
         self._writer.tell(RegisterInstance(is_leaving=True))
 
+    def _observe_era(self, table: str, version: int) -> bool:
+        """Record the version of a response; return whether ``table`` was restored before it."""
+        era = era_of(version)
+        known_era = self._era_by_table.get(table, era)
+        is_new = era > max(self._era_by_table.values(), default=era)
+        self._era_by_table[table] = max(known_era, era)
+        self._assignment.observe_era(self._clock.now(), version)
+        if is_new and table != LEADER_TABLE and self._assignment.leadership.is_leader:
+            # Leadership ends or goes on by the restored row, which is otherwise polled rarely.
+            self._leader_follower.request_full_read()
+        return era > known_era
+
+    def _rewrite_own_rows(self, rows: tuple[Row, ...]) -> None:
+        """Register again if the restored table does not list this process."""
+        if all(row.key != LINK_KEY for row in rows):
+            self._link_key_row = None
+        key = instance_key(self._name)
+        is_registered = any(row.key == key and self._is_own(row) for row in rows)
+        if self._has_read_maps and not is_registered and not self._has_resigned:
+            self._writer.tell(RegisterInstance())
+
+    def _is_own(self, row: Row) -> bool:
+        try:
+            return decode_instance(self._name, row.value).boot == self._boot
+        except MalformedRowError:
+            return False
+
     def _apply_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             try:
@@ -288,7 +334,7 @@
         elif row.is_dropped:
             logger.bind(row=row.key).warning("row was deleted from the store")
         elif row.key == LINK_KEY:
-            self._link_key = row.value
+            self._apply_link_key(row)
         elif row.key == LEADER_KEY:
             record = decode_leader(row.version, row.value)
             self._assignment.observe_leader(self._clock.now(), record)
@@ -298,12 +344,27 @@
 
     def _apply_instance_row(self, row: Row) -> None:
         name = row.key.removeprefix(INSTANCE_PREFIX)
+        known = self._record_by_name.get(name)
         if row.is_dropped:
             self._record_by_name.pop(name, None)
+            if known is not None:
+                self._ended_processes.add((name, known.boot))
             return
         record = decode_instance(name, row.value)
+        if (name, record.boot) in self._ended_processes:
+            return
+        is_same_era = era_of(row.version) == era_of(self._version_by_name.get(name, 0))
+        if known is not None and known.boot != record.boot and is_same_era:
+            self._ended_processes.add((name, known.boot))
         self._record_by_name[name] = record
-        self._assignment.leadership.observe_boot(self._clock.now(), name, record.boot)
+        self._version_by_name[name] = row.version
+        self._assignment.leadership.observe_boot(self._clock.now(), name, record.boot, row.version)
+
+    def _apply_link_key(self, row: Row) -> None:
+        known, self._link_key_row = self._link_key_row, row
+        is_restored = known is None or era_of(row.version) > era_of(known.version)
+        if self._link_key is None or not is_restored:
+            self._link_key = row.value
 
     def _publish(self) -> None:
         if self.maps.value != self._assignment.map_by_service:
--- a/packages/damasktide/src/damasktide/keyspace/codec.py
+++ b/packages/damasktide/src/damasktide/keyspace/codec.py
@@ -31,7 +31,8 @@
         ]
         for key_range in key_map.ranges
     ]
-    return json.dumps({"last_fence": key_map.last_fence, "ranges": ranges}).encode()
+    document = {"last_fence": key_map.last_fence, "ranges": ranges} | _era_field(key_map.era)
+    return json.dumps(document).encode()
 
 
 def decode_map(service: str, version: int, value: bytes) -> KeyMap:
@@ -45,7 +46,8 @@
     with _decoding(f"map of {service}"):
         document = _decode_object(value)
         ranges = tuple(_ordered(_decode_range(fields) for fields in document["ranges"]))
-        return KeyMap(service, version, int(document["last_fence"]), ranges)
+        era = _decode_era(document)
+        return KeyMap(service, version, int(document["last_fence"]), ranges, era)
 
 
 def encode_leader(record: LeaderRecord) -> bytes:
@@ -54,7 +56,9 @@
         "instance": record.instance,
         "boot": record.boot,
         "earlier_renewals_s": record.earlier_renewals_s,
-    }
+    } | _era_field(record.era)
+    if record.lost_renewals_s:
+        document["lost_renewals_s"] = record.lost_renewals_s
     return json.dumps(document).encode()
 
 
@@ -74,6 +78,8 @@
             version,
             # Absent in the rows of earlier versions of this program.
             float(document.get("earlier_renewals_s") or 0.0),
+            _decode_era(document),
+            float(document.get("lost_renewals_s") or 0.0),
         )
 
 
@@ -130,6 +136,15 @@
     )
 
 
+def _era_field(era: int) -> dict[str, Any]:
+    return {"era": era} if era else {}
+
+
+def _decode_era(document: dict[str, Any]) -> int:
+    # Absent in rows of a store without eras, and in those of earlier versions of this program.
+    return int(document.get("era") or 0)
+
+
 def _optional_float(value: Any) -> float | None:
     return float(value) if value is not None else None
 
--- a/packages/damasktide/src/damasktide/keyspace/key_map.py
+++ b/packages/damasktide/src/damasktide/keyspace/key_map.py
@@ -61,12 +61,15 @@
         Highest fencing token issued.
     ranges
         All ranges, ordered by their first key.
+    era
+        Era of the store in which a leader last wrote the map.
     """
 
     service: str
     version: int = 0
     last_fence: int = 0
     ranges: tuple[KeyRange, ...] = ()
+    era: int = 0
 
     def find(self, key: int) -> KeyRange | None:
         """Return the range that contains ``key``, or None if the key is not assigned."""
--- a/packages/damasktide/src/damasktide/keyspace/leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/leadership.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from damasktide.rows.store import era_of
+
 # Interval at which the leader rewrites its row.
 LEADER_WRITE_INTERVAL_S = 0.5
 # Leadership may be taken over if the row is unchanged for this long on the observer's own clock.
@@ -38,12 +40,27 @@
         Version of the row; 0 if there is none.
     earlier_renewals_s
         Seconds after the write of the row for which leaders before that one may renew grants.
+    era
+        Era of the store in which the row was written.
+    lost_renewals_s
+        Seconds after the write of the row for which leaders may renew grants by maps that they
+        know from before a restore, and that the store may have lost.
     """
 
     instance: str = ""
     boot: str = ""
     version: int = 0
     earlier_renewals_s: float = 0.0
+    era: int = 0
+    lost_renewals_s: float = 0.0
+
+    @property
+    def is_restored(self) -> bool:
+        """Whether nobody has written the row since the store returned from an older copy.
+
+        Other leaders may then have followed, of which the store knows nothing.
+        """
+        return self.era < era_of(self.version)
 
 
 class Leadership:
@@ -80,6 +97,13 @@
         self._earlier_renewals_end_at = float("-inf")
         self._predecessor = LeaderRecord()
         self._is_predecessor_pending = False
+        self._era: int | None = None
+        # When this process noticed that rows of the current era may come from an older copy.
+        self._restored_at: float | None = None
+        self._is_sole_leader = False
+        # Whether this process led when the store was restored, and has led since.
+        self._has_continued = False
+        self._lost_renewals_end_at = float("-inf")
 
     @property
     def record(self) -> LeaderRecord:
@@ -91,6 +115,23 @@
         """Whether the row, as last observed, names this process."""
         return self._observed_at is not None and self._is_own(self._record)
 
+    @property
+    def is_sole_leader(self) -> bool:
+        """Whether no other instance can have led since the last write before a restore.
+
+        The maps that this instance knows are then the newest that any leader has written.
+        """
+        return self._is_sole_leader and self.is_leader
+
+    @property
+    def has_seen_restore(self) -> bool:
+        """Whether this process has noticed a restore of the store."""
+        return self._restored_at is not None
+
+    def random_delay_s(self, min_s: float) -> float:
+        """Return a random time between ``min_s`` and twice as long."""
+        return min_s * self._rng.uniform(1.0, 2.0)
+
     def may_renew(self, now: float) -> bool:
         """Return whether this process may renew grants under the known maps."""
         lease_ends_at = self._write_requested_at + LEADER_RENEWAL_LEASE_S
@@ -111,18 +152,48 @@
         """
         if not self.is_leader:
             own_lease_s = 0.0 if self._has_predecessor_ended() else LEADER_RENEWAL_LEASE_S
-            remaining_s = max(self._record.earlier_renewals_s, own_lease_s)
+            remaining_s = max(
+                self._record.earlier_renewals_s,
+                own_lease_s,
+                self._lost_renewals_end_after(now, self._record) - now,
+            )
         else:
             remaining_s = self.predecessor_renewals_end_at() - now
             if self._has_resigned:
                 remaining_s = max(remaining_s, self._renewals_end_at - now)
         return max(0.0, remaining_s) * (1.0 + CLOCK_RATE_ERROR)
 
+    def lost_renewals_end_at(self) -> float:
+        """Return the time after which no other leader renews grants by a map the store has lost.
+
+        It holds for maps that no leader has written since the restore.
+        """
+        return self._lost_renewals_end_at
+
+    def lost_renewals_s(self, now: float) -> float:
+        """Return for how many seconds leaders may renew by lost maps, to be put into the row."""
+        if not self.is_leader:
+            end_at = self._lost_renewals_end_after(now, self._record)
+        elif self._has_continued:
+            end_at = now + LEADER_RENEWAL_LEASE_S
+        else:
+            end_at = self._lost_renewals_end_at
+        return max(0.0, end_at - now) * (1.0 + CLOCK_RATE_ERROR)
+
     def observe(self, now: float, record: LeaderRecord) -> None:
         """Apply the row as read from the store, unless its version is not newer."""
         if self._observed_at is not None and record.version <= self._record.version:
             return
-        if self._is_own(record) and not self._is_own(self._record):
+        self.observe_era(now, era_of(record.version))
+        if record.is_restored and self._restored_at is None:
+            self._restored_at = now
+        is_new_era = era_of(record.version) > era_of(self._record.version)
+        if is_new_era:
+            # A resignation that the copy lacks is written again.
+            self._is_resignation_written = False
+        if self._is_own(record) and self.is_leader and is_new_era:
+            self._continue_after_restore(now)
+        elif self._is_own(record) and not self._is_own(self._record):
             # A write that got no response took effect, perhaps late: this is a takeover too.
             self._take_over(now, self._record)
             self._write_requested_at = now - MAX_READ_AGE_S
@@ -131,21 +202,52 @@
         self._observed_at = now
         self._jitter_s = self._rng.random() * TAKEOVER_JITTER_S
 
-    def record_complete_read(self, now: float) -> None:
+    def observe_era(self, now: float, era: int, knows_newest_maps: bool = False) -> None:
+        """Record the era of a response; if it has risen, the store has lost its latest writes.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        era
+            Era of the store.
+        knows_newest_maps
+            Whether this process, if it leads, knows all maps that leaders before it have written.
+        """
+        if self._era is not None and era > self._era:
+            self._restored_at = now
+            # Another instance takes over at the earliest when it has seen the row unchanged for
+            # TAKEOVER_AFTER_S. By then the store was in its new era, so no such write was lost.
+            takeover_at = self._write_requested_at + TAKEOVER_AFTER_S * (1.0 - CLOCK_RATE_ERROR)
+            self._is_sole_leader = self.is_leader and knows_newest_maps and now < takeover_at
+        self._era = era if self._era is None else max(era, self._era)
+
+    def record_complete_read(self, now: float, version: int = 0) -> None:
         """Record a complete read of the row's table; if it returned no row, there is none."""
+        self.observe_era(now, era_of(version))
         if self._observed_at is None:
             self._observed_at = now
+        elif self._record.version and era_of(self._record.version) < era_of(version):
+            # The copy is older than the first write of the row.
+            self._record = LeaderRecord()
+            self._has_leader_ended = False
+            self._observed_at = now
 
-    def observe_boot(self, now: float, instance: str, boot: str) -> None:
-        """Record the boot id of ``instance``; any earlier process of it has ended."""
+    def observe_boot(self, now: float, instance: str, boot: str, version: int) -> None:
+        """Record the boot id of ``instance``, as read from a row with ``version``.
+
+        Any earlier process of the instance has ended. A row older than the leader's row may be
+        that of an earlier process itself.
+        """
         leader = self._record
-        if instance == leader.instance and boot != leader.boot:
+        if instance == leader.instance and boot != leader.boot and _follows(version, leader):
             self._has_leader_ended = True
         predecessor = self._predecessor
         if (
             self._is_predecessor_pending
             and instance == predecessor.instance
             and boot != predecessor.boot
+            and _follows(version, predecessor)
         ):
             self._predecessor_renewals_end_at = min(self._predecessor_renewals_end_at, now)
             self._is_predecessor_pending = False
@@ -154,6 +256,9 @@
         """Return whether this process should write the row now, to renew or take over."""
         if self._observed_at is None or self._is_writing or now < self._next_write_at:
             return False
+        if self._record.version and era_of(self._record.version) < (self._era or 0):
+            # The row must be read again first, or the store would refuse the write.
+            return False
         if self._has_resigned:
             return self.is_leader and not self._is_resignation_written
         if self.is_leader:
@@ -174,17 +279,22 @@
     def record_resignation(self, version: int) -> None:
         """Record a successful write of a row that names no leader."""
         self._is_writing = False
+        if self._is_lost(version):
+            return
         self._is_resignation_written = True
         self._record = replace(self._record, version=version)
 
     def record_write(self, now: float, requested_at: float, version: int) -> None:
         """Record a successful write: the row now names this process."""
         self._is_writing = False
+        if self._is_lost(version):
+            return
+        self.observe_era(now, era_of(version))
         predecessor = self._record
         if not self.is_leader:
             self._take_over(now, predecessor)
         self._write_requested_at = requested_at
-        self._record = LeaderRecord(self._instance, self._boot, version)
+        self._record = LeaderRecord(self._instance, self._boot, version, era=era_of(version))
         self._observed_at = now
 
     def set_observation_delay(self, delay_s: float) -> None:
@@ -212,9 +322,40 @@
         """Whether this instance no longer takes part in the election."""
         return self._has_resigned
 
+    def _is_lost(self, version: int) -> bool:
+        """Return whether a write with ``version`` was lost before its response was handled."""
+        return era_of(version) < (self._era or 0)
+
+    def _lost_renewals_end_after(self, now: float, record: LeaderRecord) -> float:
+        """Return when leaders before the restore no longer renew grants, as ``record`` shows."""
+        is_of_earlier_era = era_of(record.version) < (self._era or 0)
+        if self._restored_at is None or not (record.is_restored or is_of_earlier_era):
+            return now + record.lost_renewals_s
+        return self._restored_at + LEADER_RENEWAL_LEASE_S * (1.0 + CLOCK_RATE_ERROR)
+
+    def _continue_after_restore(self, now: float) -> None:
+        """Go on leading, because the restored row names this process too."""
+        assert self._restored_at is not None
+        # Another instance may have led in the new era if this one did not read the row at once.
+        self._is_sole_leader &= now < self._restored_at + TAKEOVER_AFTER_S
+        self._has_continued = True
+        self._next_write_at = now
+        if not self.may_renew(now):
+            self._take_over(now, self._record)
+        elif not self._is_sole_leader:
+            self._lost_renewals_end_at = self._lost_renewals_end_after(now, self._record)
+            self._earlier_renewals_end_at = max(
+                self._earlier_renewals_end_at, self._lost_renewals_end_at
+            )
+
     def _take_over(self, now: float, predecessor: LeaderRecord) -> None:
         self._predecessor = predecessor
-        self._earlier_renewals_end_at = now + predecessor.earlier_renewals_s
+        self._is_sole_leader = False
+        self._has_continued = False
+        self._lost_renewals_end_at = self._lost_renewals_end_after(now, predecessor)
+        self._earlier_renewals_end_at = max(
+            now + predecessor.earlier_renewals_s, self._lost_renewals_end_at
+        )
         self._took_over_at = now
         if self._has_predecessor_ended():
             self._predecessor_renewals_end_at = now
@@ -236,3 +377,8 @@
 
     def _is_own_earlier_process(self) -> bool:
         return self._record.instance == self._instance and self._record.boot != self._boot
+
+
+def _follows(version: int, record: LeaderRecord) -> bool:
+    """Return whether a row with ``version`` was written after ``record``."""
+    return version > record.version and era_of(version) == era_of(record.version)
--- a/packages/damasktide/src/damasktide/keyspace/messages.py
+++ b/packages/damasktide/src/damasktide/keyspace/messages.py
@@ -162,11 +162,12 @@
     key_map
         The new map; its version is that of the row it replaces.
     leader_version
-        Version of the leader's row.
+        Version of the leader's row; None if an instance that does not lead restores a map that a
+        leader has written before.
     """
 
     key_map: KeyMap
-    leader_version: int
+    leader_version: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,11 +182,17 @@
         Seconds for which earlier leaders may renew grants.
     resigns
         Whether the new row names no leader.
+    era
+        Era of the store, as the writer knows it.
+    lost_renewals_s
+        Seconds for which leaders may renew grants by maps that the store may have lost.
     """
 
     version: int
     earlier_renewals_s: float = 0.0
     resigns: bool = False
+    era: int = 0
+    lost_renewals_s: float = 0.0
 
 
 class WriteResult(Enum):
@@ -233,7 +240,18 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteLinkKey:
-    """Writes the shared key of the links between instances, unless there is one."""
+    """Writes the shared key of the links between instances, unless there is another one.
+
+    Attributes
+    ----------
+    key
+        The key, or None for a new one.
+    version
+        Version of the row that it replaces; 0 if there is none.
+    """
+
+    key: bytes | None = None
+    version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/damasktide/src/damasktide/keyspace/store_writer.py
+++ b/packages/damasktide/src/damasktide/keyspace/store_writer.py
@@ -70,18 +70,20 @@
     def _write_map(self, write: WriteMap) -> None:
         key_map = write.key_map
         key = map_key(key_map.service)
-        expected = (
-            ExpectedRow(TABLE, key, key_map.version),
-            ExpectedRow(LEADER_TABLE, LEADER_KEY, write.leader_version),
-        )
+        expected: tuple[ExpectedRow, ...] = (ExpectedRow(TABLE, key, key_map.version),)
+        if write.leader_version is not None:
+            expected += (ExpectedRow(LEADER_TABLE, LEADER_KEY, write.leader_version),)
         result, version = self._write(RowWrite(TABLE, key, encode_map(key_map)), expected)
         self._notify(MapWritten(write, result, version))
 
     @handles(WriteLeader)
     def _write_leader(self, write: WriteLeader) -> None:
         requested_at = self._clock.now()
-        earlier_renewals_s = write.earlier_renewals_s
-        record = LeaderRecord(earlier_renewals_s=earlier_renewals_s)
+        record = LeaderRecord(
+            earlier_renewals_s=write.earlier_renewals_s,
+            era=write.era,
+            lost_renewals_s=write.lost_renewals_s,
+        )
         if not write.resigns:
             record = replace(record, instance=self._instance.name, boot=self._instance.boot)
         row = RowWrite(LEADER_TABLE, LEADER_KEY, encode_leader(record))
@@ -106,7 +108,8 @@
 
     @handles(WriteLinkKey)
     def _write_link_key(self, message: WriteLinkKey) -> None:
-        self._write(_new_link_key(), (ExpectedRow(TABLE, LINK_KEY, 0),))
+        row = RowWrite(TABLE, LINK_KEY, message.key) if message.key else _new_link_key()
+        self._write(row, (ExpectedRow(TABLE, LINK_KEY, message.version),))
 
     def _write(
         self, row: RowWrite, expected: tuple[ExpectedRow, ...], *others: RowWrite
--- a/packages/damasktide/src/damasktide/keyspace/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/simulation.py
@@ -27,6 +27,7 @@
     WriteMap,
     WriteResult,
 )
+from damasktide.rows.store import era_of, number_of, version_of
 from damasktide.targets.target import TargetEntry, TargetState, TargetView
 
 SERVICE = "ledger"
@@ -35,6 +36,7 @@
 GRANT_TIMEOUT_S = 0.6
 SLOW_CLOCK_FACTOR = 1.02
 CHECK_IN_TTL_S = 2.6
+COPY_INTERVAL_S = 0.5
 
 
 @dataclass(slots=True)
@@ -65,6 +67,10 @@
     violations: list[str] = field(default_factory=list)
     late_delivery_rate: float = 0.0
     demand: DemandReport | None = None
+    # Whether instances read the leader's row and the other rows at different times.
+    reads_tables_apart: bool = False
+    # Range and target of the grants with each fencing token.
+    grants_by_fence: dict[int, set[tuple[int, int, str]]] = field(default_factory=dict)
     _queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     _order: "count[int]" = field(default_factory=count)
 
@@ -82,6 +88,7 @@
                 self.now = max(self.now, at)
                 action()
             self.now = step_end
+            self.store.copy_when_due(self.now)
             for instance in self.instances.values():
                 instance.step()
             self._record_violations()
@@ -95,6 +102,17 @@
         )
         return held / 65_536
 
+    def record_grant(self, grant: Grant) -> None:
+        """Record a violation if the token of ``grant`` was issued to another target before."""
+        grants = self.grants_by_fence.setdefault(grant.fence, set())
+        target_id = grant.entry.target_id
+        grants.add((grant.first, grant.last, target_id))
+        for first, last, other_id in grants:
+            if first <= grant.last and grant.first <= last and other_id != target_id:
+                self.violations.append(
+                    f"{self.now:.2f} s: token {grant.fence} issued to {other_id} and {target_id}"
+                )
+
     def _record_violations(self) -> None:
         holds = [
             (target, hold) for target in self.targets.values() for hold in target.live_holds()
@@ -113,22 +131,41 @@
 class Store:
     """Rows with one version counter for all, as in the platform's store."""
 
+    # Value and number of each row; the number is part of its version.
     row_by_key: dict[str, tuple[object, int]] = field(default_factory=dict)
-    version: int = 0
+    number: int = 0
+    era: int = 0
+    # Time, number and rows of the copies made so far.
+    copies: list[tuple[float, int, dict[str, tuple[object, int]]]] = field(default_factory=list)
     is_up: bool = True
     # How fast a store that is down responds; it may refuse calls within milliseconds.
     refusal_s: float = 1.0
     refused_map_writes: int = 0
 
     def write(self, key: str, value: object, expected: dict[str, int]) -> int | None:
-        """Write if all expected versions hold; return the new version."""
-        for name, version in expected.items():
-            if self.row_by_key.get(name, (None, 0))[1] != version:
+        """Write if all rows have the expected numbers; return the new version."""
+        for name, number in expected.items():
+            if self.row_by_key.get(name, (None, 0))[1] != number:
                 return None
-        self.version += 1
-        self.row_by_key[key] = (value, self.version)
+        self.number += 1
+        self.row_by_key[key] = (value, self.number)
         return self.version
 
+    @property
+    def version(self) -> int:
+        return version_of(self.era, self.number)
+
+    def copy_when_due(self, now: float) -> None:
+        if not self.copies or now >= self.copies[-1][0] + COPY_INTERVAL_S:
+            self.copies.append((now, self.number, dict(self.row_by_key)))
+
+    def restore(self, before: float) -> None:
+        """Return to the latest copy made by the time ``before``, or else to the first one."""
+        self.copies = [self.copies[0], *(one for one in self.copies[1:] if one[0] <= before)]
+        _, self.number, rows = self.copies[-1]
+        self.row_by_key = dict(rows)
+        self.era += 1
+
 
 class Target:
     """A target that holds keys."""
@@ -222,8 +259,9 @@
         )
         self.assignment_controller.set_services(frozenset({SERVICE}))
         self.polled_at = float("-inf")
+        # Highest era that this process has seen.
+        self.era = 0
         self.connected_incarnation_by_target.clear()
-        self.is_registered = False
 
     @property
     def is_running(self) -> bool:
@@ -250,20 +288,29 @@
 
     def _read_store(self) -> None:
         store, now = self.simulation.store, self.simulation.now
-        if not self.is_registered:
+        reads_leader = reads_table = True
+        if self.simulation.reads_tables_apart:
+            reads_leader, reads_table = self.simulation.rng.choice(
+                ((True, True), (True, False), (False, True))
+            )
+        self.era = store.era
+        if store.row_by_key.get(f"instance/{self.name}", ("", 0))[0] != self.boot:
             store.write(f"instance/{self.name}", self.boot, {})
-            self.is_registered = True
-        for key, (value, version) in store.row_by_key.items():
-            if key.startswith("instance/"):
+        self.assignment_controller.observe_era(now, store.version)
+        for key, (value, number) in store.row_by_key.items():
+            version = version_of(store.era, number)
+            if key.startswith("instance/") and reads_table:
                 self.assignment_controller.leadership.observe_boot(
-                    now, key.removeprefix("instance/"), str(value)
+                    now, key.removeprefix("instance/"), str(value), version
                 )
-            elif isinstance(value, LeaderRecord):
+            elif isinstance(value, LeaderRecord) and reads_leader:
                 self.assignment_controller.observe_leader(now, replace(value, version=version))
-            elif isinstance(value, KeyMap):
+            elif isinstance(value, KeyMap) and reads_table:
                 self.assignment_controller.observe_map(replace(value, version=version))
-        self.assignment_controller.leadership.record_complete_read(now)
-        self.assignment_controller.record_table_read(now)
+        if reads_leader:
+            self.assignment_controller.leadership.record_complete_read(now, store.version)
+        if reads_table:
+            self.assignment_controller.record_table_read(now, store.version)
         self.assignment_controller.set_targets(now, self._view())
         self.assignment_controller.record_confirmation(now)
 
@@ -308,6 +355,7 @@
         simulation = self.simulation
         target = simulation.targets[grant.entry.target_id]
         delay_s = simulation.rng.uniform(0.001, 0.06)
+        simulation.record_grant(grant)
         if grant.issued_at <= self.failed_at_by_target.get(target.name, float("-inf")):
             self._end_grant(grant, CommandResult.NOT_SENT, 0.0)
         elif target.is_unresponsive or target.name in self.unreachable:
@@ -389,7 +437,9 @@
 
     def _write_map(self, write: WriteMap) -> None:
         key = f"map/{write.key_map.service}"
-        expected = {key: write.key_map.version, "leader": write.leader_version}
+        expected = {key: write.key_map.version}
+        if write.leader_version is not None:
+            expected["leader"] = write.leader_version
         self._write(
             key,
             write.key_map,
@@ -409,6 +459,8 @@
                 "" if write.resigns else self.name,
                 "" if write.resigns else self.boot,
                 earlier_renewals_s=write.earlier_renewals_s,
+                era=write.era,
+                lost_renewals_s=write.lost_renewals_s,
             ),
             {"leader": write.version},
             lambda assignment_controller, result, version: (
@@ -418,8 +470,8 @@
             ),
         )
 
-    def _write_late(self, key: str, value: object, expected: dict[str, int]) -> None:
-        self.simulation.store.write(key, value, expected)
+    def _write_late(self, key: str, value: object, numbers: dict[str, int]) -> None:
+        self.simulation.store.write(key, value, numbers)
 
     def _write(
         self,
@@ -429,6 +481,17 @@
         handle_result: Callable[[AssignmentController, WriteResult, int], None],
     ) -> None:
         simulation = self.simulation
+        eras = {era_of(version) for version in expected.values() if version}
+        if eras - {self.era}:
+            # The client does not send a condition of an earlier era.
+            self._deliver_later(
+                0.0,
+                lambda assignment_controller: handle_result(
+                    assignment_controller, WriteResult.CONFLICT, 0
+                ),
+            )
+            return
+        numbers = {name: number_of(version) for name, version in expected.items()}
         if not self.can_reach_store:
             simulation.store.refused_map_writes += key.startswith("map/")
             self._deliver_later(
@@ -443,7 +506,7 @@
             # does not respond.
             simulation.schedule(
                 simulation.rng.uniform(0.0, 6.0),
-                lambda: self._write_late(key, value, expected),
+                lambda: self._write_late(key, value, numbers),
             )
             self._deliver_later(
                 1.5,
@@ -454,8 +517,10 @@
             return
 
         def arrive() -> None:
-            version = simulation.store.write(key, value, expected)
+            version = simulation.store.write(key, value, numbers)
             result = WriteResult.CONFLICT if version is None else WriteResult.WRITTEN
+            if version is not None and eras - {era_of(version)}:
+                result = WriteResult.UNKNOWN
             self._deliver_later(
                 0.01,
                 lambda assignment_controller: handle_result(
--- a/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
+++ b/packages/damasktide/src/damasktide/keyspace/tests/test_leadership.py
@@ -54,7 +54,7 @@
     def test_restarted_predecessor_renews_no_grant(self) -> None:
         self.lease.observe(0.0, OTHER)
         self.take_over(3.0)
-        self.lease.observe_boot(4.0, "other", "boot-2")
+        self.lease.observe_boot(4.0, "other", "boot-2", 7)
         self.assertLessEqual(self.lease.predecessor_renewals_end_at(), 4.0)
 
     def test_write_without_a_response_that_took_effect_is_a_takeover(self) -> None:
@@ -96,7 +96,7 @@
 
     def test_resigned_leader_stops_to_renew_and_says_when(self) -> None:
         self.lease.observe(0.0, OTHER)
-        self.lease.observe_boot(1.0, "other", "boot-2")
+        self.lease.observe_boot(1.0, "other", "boot-2", 6)
         self.take_over(3.0)
         self.lease.resign(5.0)
         self.assertTrue(self.lease.may_renew(5.0 + RESIGNED_RENEWAL_S - 0.1))
--- a/packages/damasktide/src/damasktide/rows/follower.py
+++ b/packages/damasktide/src/damasktide/rows/follower.py
@@ -20,7 +20,7 @@
 )
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
-from damasktide.runtime.task import Task
+from damasktide.runtime.task import Task, handles
 
 # Initial and maximum backoff after a failed call; each failure doubles it. The pause is a random
 # 50 to 100 % of the backoff.
@@ -151,6 +151,11 @@
     }
 
 
+@dataclass(frozen=True, slots=True)
+class _ReadNow:
+    """Wakes the follower, whose next call is due."""
+
+
 class TableFollower(Task):
     """Notifies another task of changes in a table; owns its connection to the store.
 
@@ -210,11 +215,17 @@
         self._is_full_read_requested = True
         self._due_at = 0.0
         self.interrupt()
+        # Ends the pause between two calls, which takes seconds on an observer of the leader's row.
+        self.tell(_ReadNow())
 
     def set_poll_schedule(self, poll_schedule: PollSchedule) -> None:
         """Replace the schedule from the next call on."""
         self._poll_schedule = poll_schedule
 
+    @handles(_ReadNow)
+    def _read_now(self, message: _ReadNow) -> None:
+        """Do nothing; the task makes the call that is due after each message."""
+
     def next_wake_at(self) -> float | None:
         """Return when the next call is due."""
         return self._due_at
