Keep evacuations, targets and withdrawals when the store is restored

A restored store lacks evacuations and entries written after its copy, and brings back entries of targets that have left or drain. A missing evacuation stays in force for 10 s, a missing target for 2.2 s as after an outage. A restored row does not make a target or an evacuation usable again that this instance knew to be withdrawn: rows of the copy keep their numbers, so a lower number than the known one shows that the row may be older. The restored list confirms no target for 2.2 s, because the copy may list a process that has ended. The configuration needed no change: its own version decides.

Ruled out: a longer grace period for targets, because live ones check in within a second. The 10 s are chosen; the platform states no time in which operators write again.

--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -14,11 +14,15 @@
     TableRead,
     provenance,
 )
-from damasktide.rows.store import Row, RowStore
+from damasktide.rows.store import Row, RowStore, era_of, number_of
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Task, TaskFailed, handles
 
+# Time for which an evacuation that is missing from a restored store stays in force. Operators
+# write it again within this time.
+EVACUATION_GRACE_S = 10.0
+
 
 class MalformedRecordError(ValueError):
     """A row of the operators' table that cannot be decoded."""
@@ -35,6 +39,22 @@
 RecordDecoder = Callable[[Row], ConfigurationRecord]
 
 
+@dataclass(frozen=True, slots=True)
+class _EvacuationGraceEnded:
+    """An evacuation has been missing for the grace period.
+
+    Attributes
+    ----------
+    key
+        Key of its row.
+    state_version
+        Version of the restored table that lacked it.
+    """
+
+    key: str
+    state_version: int
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingActivated:
     """The configuration in force.
@@ -55,7 +75,8 @@
     """Owns the configuration in force and publishes it.
 
     A version is never replaced by a lower one while the process runs, even if the store returns
-    older rows after an outage.
+    older rows after an outage. An evacuation that a restored store lacks stays in force for
+    :data:`EVACUATION_GRACE_S`; one that was withdrawn before the restore stays withdrawn.
 
     Parameters
     ----------
@@ -89,6 +110,10 @@
         self._clock = LeaseClock()
         self._version_by_key: dict[str, int] = {}
         self._evacuated_domain_by_key: dict[str, str] = {}
+        # Number of the row that was withdrawn; a restore may bring the same row back.
+        self._withdrawn_number_by_key: dict[str, int] = {}
+        # Version of the restored table since which a missing evacuation is kept.
+        self._kept_since_by_key: dict[str, int] = {}
 
     def on_start(self) -> None:
         """Follow the table."""
@@ -109,19 +134,60 @@
         self._apply_rows(state.rows, message)
         listed = {row.key for row in state.rows}
         for key in set(self._evacuated_domain_by_key) - listed:
-            if self._version_by_key[key] < state.version:
+            known_version = self._version_by_key[key]
+            if key in self._kept_since_by_key:
+                continue
+            if era_of(known_version) < era_of(state.version):
+                self._keep_evacuation(key, state.version)
+            elif known_version < state.version:
                 dropped = Row(key, b"", state.version, is_dropped=True)
                 self._apply_rows((dropped,), message)
 
+    @handles(_EvacuationGraceEnded)
+    def _evacuation_grace_ended(self, message: _EvacuationGraceEnded) -> None:
+        key = message.key
+        if self._kept_since_by_key.get(key) != message.state_version:
+            return
+        logger.bind(row=key).info("evacuation ended: it was not written again")
+        del self._kept_since_by_key[key]
+        self._evacuated_domain_by_key.pop(key, None)
+        self._on_evacuated(frozenset(self._evacuated_domain_by_key.values()))
+
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
         self._apply_rows(message.rows, message)
 
+    def _keep_evacuation(self, key: str, state_version: int) -> None:
+        """Keep an evacuation that a restored table lacks until operators have written it again."""
+        logger.bind(row=key, version=state_version).info("missing evacuation kept after a restore")
+        self._kept_since_by_key[key] = state_version
+        self.tell_later(_EvacuationGraceEnded(key, state_version), EVACUATION_GRACE_S)
+
+    def _is_withdrawn(self, row: Row, known_version: int, message: FollowerMessage) -> bool:
+        """Return whether a restored row is one that was dropped before the restore.
+
+        Rows of the copy keep their numbers, and rows written since are mostly read as changes.
+        """
+        return (
+            isinstance(message, TableRead)
+            and era_of(row.version) > era_of(known_version)
+            and self._withdrawn_number_by_key.get(row.key) == number_of(row.version)
+        )
+
     def _apply_rows(self, rows: tuple[Row, ...], message: FollowerMessage) -> None:
         for row in rows:
-            if row.version <= self._version_by_key.get(row.key, 0):
+            known_version = self._version_by_key.get(row.key, 0)
+            if row.version <= known_version:
                 continue
             self._version_by_key[row.key] = row.version
+            if self._is_withdrawn(row, known_version, message):
+                logger.bind(row=row.key, version=row.version).info(
+                    "ignoring a restored row that was withdrawn"
+                )
+                continue
+            self._kept_since_by_key.pop(row.key, None)
+            if row.is_dropped and row.key in self._evacuated_domain_by_key:
+                self._withdrawn_number_by_key[row.key] = number_of(known_version)
             try:
                 record = self._decode(row)
             except MalformedRecordError as error:
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from dataclasses import replace
 
+from damasktide.rows.store import era_of, number_of
 from damasktide.targets.target import TargetEntry, TargetState, TargetView
 
 # Time for which entries that expired during a store outage are kept, counted from the first
@@ -18,7 +19,8 @@
     """State machine of the list of targets.
 
     Versions are those of the store's rows, which only increase. An older row never replaces a
-    newer one, so a delayed or stale response changes nothing.
+    newer one, so a delayed or stale response changes nothing. A row that a restored store brings
+    back never makes a target usable that was withdrawn before.
 
     Parameters
     ----------
@@ -80,6 +82,10 @@
         for target_id in self._kept_until_by_id:
             self._kept_until_by_id[target_id] = now
 
+    def record_restored(self, now: float) -> None:
+        """Record that the store returned from an older copy, which may lack entries."""
+        self._store_available_at = now
+
     def record_listed(self, now: float, version: int, entry: TargetEntry) -> bool:
         """Record a listed entry; return whether it changed anything besides the check-in.
 
@@ -98,6 +104,10 @@
         if known is not None and entry.started_at_ms < known.started_at_ms:
             # A delayed check-in of an earlier incarnation.
             return False
+        if self._may_be_restored(version, entry):
+            # The next check-in, within a second, has a higher number than this row.
+            self._version_by_id[entry.target_id] = version
+            return False
         self._version_by_id[entry.target_id] = version
         self._kept_until_by_id.pop(entry.target_id, None)
         if known == entry:
@@ -180,6 +190,22 @@
         self._rebuild()
         return True
 
+    def _may_be_restored(self, version: int, entry: TargetEntry) -> bool:
+        """Return whether a row may come from a copy that is older than what is known.
+
+        Rows of the copy keep their numbers. A row that withdraws its target is not held back.
+        """
+        known_version = self._version_by_id.get(entry.target_id, 0)
+        if era_of(version) <= era_of(known_version) or number_of(version) >= number_of(
+            known_version
+        ):
+            return False
+        known = self._entry_by_id.get(entry.target_id)
+        if known is None:
+            return True
+        is_same_incarnation = known.incarnation == entry.incarnation
+        return is_same_incarnation and entry.state is TargetState.READY
+
     def _is_in_grace_period(self, now: float) -> bool:
         return self._is_store_unavailable or now < self._store_available_at + EXPIRED_ENTRY_GRACE_S
 
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -16,11 +16,11 @@
     TableRead,
     provenance,
 )
-from damasktide.rows.store import Row, RowStore
+from damasktide.rows.store import Row, RowStore, era_of
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Task, TaskFailed, every, handles
-from damasktide.targets.directory import TargetDirectory
+from damasktide.targets.directory import EXPIRED_ENTRY_GRACE_S, TargetDirectory
 from damasktide.targets.target import TargetEntry, TargetView
 
 EXPIRY_INTERVAL_S = 0.25
@@ -101,6 +101,9 @@
         self._uninterrupted_since = uninterrupted_since
         # Time of the last confirmation before the latest outage.
         self._unconfirmed_since = float("-inf")
+        self._era: int | None = None
+        # Time on the lease clock at which a restore of the store was noticed.
+        self._restored_at = float("-inf")
         self._follower = TableFollower(
             store, table, self.tell, BUSY_POLL_SCHEDULE, self.tell, self._fingerprint
         )
@@ -124,19 +127,21 @@
     def _table_read(self, message: TableRead) -> None:
         state = message.state
         self._check_outage()
+        self._check_era(state.version)
         self._apply_rows(message)
         listed_ids = frozenset(row.key for row in state.rows)
         for target_id in self._directory.reconcile(monotonic(), state.version, listed_ids):
             self._log_unlisted(target_id, state.version, message)
         self.has_read = True
-        self.confirmed_at.publish(message.requested_at)
+        self._confirm(message)
         self._publish()
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
         self._check_outage()
+        self._check_era(message.changes.version)
         self._apply_rows(message)
-        self.confirmed_at.publish(message.requested_at)
+        self._confirm(message)
         self._publish()
 
     @handles(StoreUnavailable)
@@ -172,6 +177,23 @@
             self._unconfirmed_since = float("-inf")
             self._directory.record_no_outage(monotonic())
 
+    def _check_era(self, version: int) -> None:
+        """Start the grace period if the store has returned from an older copy."""
+        if self._era is not None and era_of(version) > self._era:
+            logger.bind(version=version).info("targets kept after a restore of the store")
+            self._restored_at = self._clock.now()
+            self._unconfirmed_since = float("-inf")
+            self._directory.record_restored(monotonic())
+        self._era = max(era_of(version), self._era or 0)
+
+    def _confirm(self, message: FollowerMessage) -> None:
+        """Publish when the list was confirmed, once targets have checked in after a restore.
+
+        The copy may list a process that has ended, while another one listens at its address.
+        """
+        if message.requested_at >= self._restored_at + EXPIRED_ENTRY_GRACE_S:
+            self.confirmed_at.publish(message.requested_at)
+
     def _apply_rows(self, message: FollowerMessage) -> None:
         now = monotonic()
         for row in message.rows:
--- a/packages/damasktide/src/damasktide/targets/tests/test_outage.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_outage.py
@@ -1,6 +1,9 @@
 """What the task of the targets takes for an outage of the store, without a network."""
 
 import unittest
+from dataclasses import replace
+from time import monotonic
+from unittest.mock import patch
 
 from damasktide.rows.follower import (
     FollowerMessage,
@@ -9,8 +12,9 @@
     TableChanged,
     TableRead,
 )
-from damasktide.rows.store import Changes, Row, TableState
+from damasktide.rows.store import Changes, Row, TableState, version_of
 from damasktide.runtime.clock import LeaseClock
+from damasktide.targets.directory import EXPIRED_ENTRY_GRACE_S
 from damasktide.targets.target import TargetEntry, TargetState
 from damasktide.targets.task import TargetTask
 
@@ -71,3 +75,70 @@
     def test_source_that_returned_after_the_outage_shows_nothing(self) -> None:
         self.uninterrupted_since = self.now - 4.0
         self.assertEqual(self.usable_after(Row("t1", b"", 9, True)), {"t1", "t2"})
+
+
+def decode_state(row: Row) -> TargetEntry:
+    return replace(decode(row), state=TargetState(row.value.decode() or "ready"))
+
+
+class TestRestoreOfTheStore(unittest.TestCase):
+    def setUp(self) -> None:
+        self.task = TargetTask(
+            None,  # type: ignore[arg-type]
+            TABLE,
+            decode_state,
+            lambda view: None,
+            lambda: None,
+        )
+        self.now = LeaseClock().now()
+        self.read(1, {"t1": 8, "t2": 9})
+
+    def read(self, era: int, number_by_id: dict[str, int]) -> None:
+        rows = tuple(Row(key, b"", version_of(era, at)) for key, at in number_by_id.items())
+        state = TableState(rows, version_of(era, 20))
+        self.task._table_read(TableRead(TABLE, state, self.now))
+
+    def change(self, era: int, key: str, number: int, state: str = "", drop: bool = False) -> None:
+        row = Row(key, state.encode(), version_of(era, number), drop)
+        self.task._table_changed(TableChanged(TABLE, Changes((row,), row.version), self.now))
+
+    def usable(self) -> set[str]:
+        usable = self.task.view.value.usable_by_service.get("desk", ())
+        return {entry.target_id for entry in usable}
+
+    def test_missing_target_is_kept_for_the_grace_period(self) -> None:
+        self.read(2, {"t1": 8})
+        self.assertEqual(self.usable(), {"t1", "t2"})
+        with patch("damasktide.targets.task.monotonic", return_value=monotonic() + 60.0):
+            self.task._remove_expired()
+        self.assertEqual(self.usable(), {"t1"})
+
+    def test_target_that_drains_is_not_used_by_its_restored_entry(self) -> None:
+        self.change(1, "t1", 12, "draining")
+        self.read(2, {"t1": 8, "t2": 9})
+        self.assertEqual(self.usable(), {"t2"})
+        self.change(2, "t1", 21)
+        self.assertEqual(self.usable(), {"t1", "t2"})
+
+    def test_target_that_left_is_not_used_by_its_restored_entry(self) -> None:
+        self.change(1, "t1", 12, drop=True)
+        self.read(2, {"t1": 8, "t2": 9})
+        self.assertEqual(self.usable(), {"t2"})
+        self.change(2, "t1", 21)
+        self.assertEqual(self.usable(), {"t1", "t2"})
+
+    def test_restored_entry_that_withdraws_its_target_counts(self) -> None:
+        """Guards against the use of a target that started to drain right after the restore."""
+        self.change(1, "t1", 15)
+        state = TableState((Row("t1", b"draining", version_of(2, 13)),), version_of(2, 13))
+        self.task._table_read(TableRead(TABLE, state, self.now))
+        self.assertNotIn("t1", self.usable())
+
+    def test_restored_list_confirms_no_target(self) -> None:
+        """Guards against a grant to a process that only the copy lists at its address."""
+        confirmed_at = self.task.confirmed_at.value
+        self.read(2, {"t1": 8})
+        self.assertEqual(self.task.confirmed_at.value, confirmed_at)
+        self.now += EXPIRED_ENTRY_GRACE_S + 1.0
+        self.change(2, "t1", 21)
+        self.assertEqual(self.task.confirmed_at.value, self.now)
