Test what followers, the relay and an instance's own rows do after a restore

The simulated relay returns to copies three times, twice within 0.3 s and while a root has lost power: every instance in touch knows later changes within 2.5 s, and keeps no row that was lost. Messages hold the highest version of 64 bits.

--- a/packages/damasktide/src/damasktide/relay/tests/simulation.py
+++ b/packages/damasktide/src/damasktide/relay/tests/simulation.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from random import Random
 from typing import Any
@@ -33,6 +33,9 @@
     RowWrite,
     StoreUnavailableError,
     TableState,
+    era_of,
+    number_of,
+    version_of,
 )
 
 OPERATORS, TARGETS, LEADER = "operators", "targets", "leader"
@@ -116,6 +119,25 @@
 
         self._time.schedule(muted_s, cut)
 
+    def restore_later(self, age_s: float) -> None:
+        """Return to a copy of the present rows after ``age_s`` seconds."""
+        copy = {table: dict(rows) for table, rows in self._row_by_key_by_table.items()}
+        copied_version = self.version
+
+        def restore() -> None:
+            era = era_of(self.version) + 1
+            self.version = version_of(era, number_of(copied_version))
+            self._row_by_key_by_table = {
+                table: {
+                    key: replace(row, version=version_of(era, number_of(row.version)))
+                    for key, row in rows.items()
+                }
+                for table, rows in copy.items()
+            }
+            self._wake_waiting_calls()
+
+        self._time.schedule(age_s, restore)
+
     def _wake_waiting_calls(self) -> None:
         changed, self._changed = self._changed, self._event_type()
         changed.set()
@@ -154,7 +176,7 @@
 
     def _rows(self, table: str, after: int) -> tuple[Row, ...]:
         store = self._world.store
-        if after < store.forgotten_version:
+        if after < store.forgotten_version or era_of(after) != era_of(store.version):
             raise HistoryLostError(table)
         return store.rows(table, after) if self._world.time.now() >= store.muted_until else ()
 
--- a/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_age_of_changes.py
@@ -5,7 +5,7 @@
 from functools import partial
 from random import Random
 
-from damasktide.relay.tests.simulation import LateChange, World
+from damasktide.relay.tests.simulation import OPERATORS, LateChange, World
 from damasktide.relay.tests.virtual_time import VirtualTime, patched_clocks
 from damasktide.runtime.registry import Registry
 
@@ -76,6 +76,14 @@
         world.time.schedule(delay_s, partial(world.store.discard_history, 1.0))
 
 
+@faults.register("store is restored")
+def _store_is_restored(world: World) -> None:
+    for delay_s in (0.0, 0.3, 4.0):
+        world.time.schedule(delay_s, partial(world.store.restore_later, 3.0))
+    # Two copies, of which the second one is older than the return to the first.
+    world.lose_power(world.roots("a")[0], 5.0)
+
+
 @faults.register("source returns, and its substitute loses power")
 def _substitute_is_lost(world: World) -> None:
     # Changes are rare enough that a call waits at the substitute when the first source returns.
@@ -155,6 +163,27 @@
         """Guards against changes that are missed while waiting calls hear nothing."""
         self.check("store discards its history")
 
+    def test_store_that_is_restored(self) -> None:
+        """Guards against instances that wait for changes after a version that was lost."""
+        self.check("store is restored")
+
+    def test_rows_agree_after_restores(self) -> None:
+        """Guards against lost rows that an instance keeps or relays."""
+        time = VirtualTime()
+        with patched_clocks(time):
+            world = World(time, Random(1), APPLY_S)
+            world.configuration_interval_s = (9.0, 9.5)
+            time.run(FAULT_AT_S)
+            world.store.restore_later(2.0)
+            time.run(FAULT_AT_S + 1.0)
+            world.store.put(OPERATORS, "lost", b"1")
+            time.run(FAULT_AT_S + 2.0 + APPLY_S)
+            expected = {row.key for row in world.store.rows(OPERATORS)}
+            for instance in world.instance_by_name.values():
+                snapshot = instance.follower_by_table[OPERATORS].snapshot.value
+                assert snapshot is not None
+                self.assertEqual({row.key for row in snapshot.rows}, expected)
+
     def test_instances_that_lose_power_in_turn(self) -> None:
         """Guards against instances that are held up by a source that has just started."""
         self.check("instances lose power in turn")
--- a/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
+++ b/packages/damasktide/src/damasktide/relay/tests/test_relayed_store.py
@@ -42,12 +42,14 @@
     RowWrite,
     StoreUnavailableError,
     TableState,
+    version_of,
 )
 from damasktide.runtime.clock import LeaseClock, ManualClock
 from damasktide.runtime.published import Published
 
 TABLE = "op"
 BUSY_TABLE = "servers"
+HIGHEST_VERSION = (1 << 64) - 1
 ORDER = relay_order(RelayPeer(f"i{n}", ("10.0.0.1", n), 100.0) for n in range(6))
 # Time left for an instance without fresh data to call the store. A change must be known within
 # 2.5 s, relayed data has reached the maximum age when it is refused, and the response of the store
@@ -475,6 +477,10 @@
         self.assertIsInstance(self.request(2), ChangesRefused)
         self.assertIsInstance(self.request(6, table="unknown"), ChangesRefused)
 
+    def test_requester_that_knows_of_a_later_restore_is_refused(self) -> None:
+        """Guards against rows that count as confirmed by an instance which knows older ones."""
+        self.assertIsInstance(self.request(version_of(1, 1)), ChangesRefused)
+
     def test_requester_that_is_behind_gets_the_complete_table(self) -> None:
         """Guards against a read of the store by each instance below one that has started anew.
 
@@ -544,12 +550,16 @@
         for request in (
             ChangesRequest(TABLE, 7, 0.5, 1.2),
             ChangesRequest(TABLE, 0, 0.0, 1.2, True, 3.5, True),
+            ChangesRequest(TABLE, HIGHEST_VERSION, 0.5, 1.2),
         ):
             self.assertEqual(decode_changes_request(encode_changes_request(request)), request)
-        rows = (Row("a", b"\x00" * 300_000, 5), Row("b", b"", 6, is_dropped=True))
+        rows = (
+            Row("a", b"\x00" * 300_000, 5),
+            Row("b", b"", HIGHEST_VERSION, is_dropped=True),
+        )
         ages = {TABLE: 0.25, BUSY_TABLE: -0.5}
         for reply in (
-            RelayedChanges(rows, 9, 0.25, ages, 17.5, 60.0, True),
+            RelayedChanges(rows, HIGHEST_VERSION, 0.25, ages, 17.5, 60.0, True),
             ChangesRefused("why"),
         ):
             self.assertEqual(decode_changes_reply(encode_changes_reply(reply)), reply)
--- a/packages/damasktide/src/damasktide/rows/tests/test_follower.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_follower.py
@@ -19,11 +19,13 @@
 from damasktide.rows.store import (
     Changes,
     ExpectedRow,
+    HistoryLostError,
     Row,
     RowWrite,
     StoreNotCalledError,
     StoreUnavailableError,
     TableState,
+    version_of,
 )
 
 RESPONSE_S = 0.2
@@ -87,6 +89,53 @@
         self.assertEqual((snapshot.version, snapshot.complete_since), (9, 9))
 
 
+class OutdatedStore(CompleteStore):
+    """Loses its history once, then returns the table of ``states``, then none."""
+
+    def __init__(self, *states: TableState) -> None:
+        super().__init__()
+        self.states = list(states)
+
+    def read_table(self, table: str) -> TableState:
+        return self.states.pop(0)
+
+    def wait_for_changes(self, table: str, after: int, wait_s: float) -> Changes:
+        raise HistoryLostError(table)
+
+
+class InterruptedStore(SlowStore):
+    """A store without pending calls."""
+
+    def interrupt(self) -> None:
+        pass
+
+
+class TestRestoredStore(unittest.TestCase):
+    def test_table_of_an_instance_that_does_not_know_of_the_restore_is_not_applied(self) -> None:
+        """Guards against rows of the era before, which count as confirmed."""
+        messages: list[FollowerMessage] = []
+        states = (
+            TableState((ROW,), version_of(2, 9)),
+            TableState((), version_of(1, 9), 0.1, "peer"),
+        )
+        follower = TableFollower(OutdatedStore(*states), "reg", messages.append)
+        for _ in range(3):
+            follower.on_wake()
+        self.assertEqual(len(messages), 1)
+
+    def test_requested_read_ends_a_pause(self) -> None:
+        """Guards against a leader that reads its restored row only after a pause of seconds."""
+        messages: list[FollowerMessage] = []
+        schedule = PollSchedule(gap_s=60.0, wait_s=0.1)
+        follower = TableFollower(InterruptedStore(), "reg", messages.append, schedule)
+        follower.start()
+        self.addCleanup(follower.stop)
+        gevent.sleep(2.0 * RESPONSE_S)
+        follower.request_full_read()
+        gevent.sleep(2.0 * RESPONSE_S)
+        self.assertEqual(len(messages), 2)
+
+
 class TestAvailability(unittest.TestCase):
     def reported(self, error: StoreUnavailableError) -> list[type]:
         store = FailingStore()
--- a/packages/damasktide/src/damasktide/rows/tests/test_snapshot.py
+++ b/packages/damasktide/src/damasktide/rows/tests/test_snapshot.py
@@ -8,7 +8,7 @@
     value_fingerprint,
     version_fingerprint,
 )
-from damasktide.rows.store import Changes, Row, TableState
+from damasktide.rows.store import Changes, Row, TableState, version_of
 
 
 def row(key: str, version: int, value: bytes = b"x") -> Row:
@@ -77,6 +77,13 @@
         self.assertEqual(found.rows_after(25), ())
         self.assertGreater(found.complete_since, 25)
 
+    def test_readers_of_a_restored_store_read_the_complete_table(self) -> None:
+        """Guards against a reader that keeps a row whose last write was lost."""
+        state = TableState((row("a", version_of(1, 3)),), version_of(1, 4))
+        found = self.snapshot.reread(state, 4.0, first_byte_fingerprint)
+        self.assertEqual([item.key for item in found.rows], ["a"])
+        self.assertEqual(found.complete_since, state.version)
+
     def test_older_row_does_not_undo_a_deletion(self) -> None:
         """Guards against relaying a target that has left to an instance that restarts."""
         found = self.updated(drop("a", 9), version=9).updated(
