--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -187,7 +187,7 @@
                 self._leadership.earlier_renewals_s(now),
                 self._leadership.has_resigned,
                 self._maps.era,
-                self._leadership.lost_renewals_s(now),
+                0.0 if self._maps.are_current else self._leadership.lost_renewals_s(now),
             )
         yield from self._restored_map_writes(now)
         if not self._leadership.may_renew(now):
--- a/packages/damasktide/src/damasktide/keyspace/known_maps.py
+++ b/packages/damasktide/src/damasktide/keyspace/known_maps.py
@@ -40,6 +40,12 @@
         """The services whose row is older than the known map, or missing."""
         return frozenset(self._outranked_services)
 
+    @property
+    def are_current(self) -> bool:
+        """Whether there are maps, and leaders have written all of them in the current era."""
+        maps = self._map_by_service.values()
+        return bool(maps) and not any(self.is_of_earlier_era(key_map) for key_map in maps)
+
     def observe_era(self, era: int) -> bool:
         """Record the era of a response; return whether the store was restored in between."""
         is_restored = self._era is not None and era > self._era
