Add check-config, which checks a configuration before it is sent

Cause: an operators' configuration was checked only by the decoder of running instances. A route to a missing service, a shadowed route or a cap that was lowered by mistake showed up only in refused requests.

Ruled out: checks on the decoded types alone, because the decoder drops zero weights, repeated entries and the order of keys, and replaces objectives of zero; a second decoder, which could differ from that of the instances.

--- /dev/null
+++ b/packages/damasktide/src/damasktide/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of an operators' configuration before it is sent."""
--- a/packages/damasktide/src/damasktide/organisations/organisation.py
+++ b/packages/damasktide/src/damasktide/organisations/organisation.py
@@ -69,7 +69,7 @@
         for organisation, keys in keys_by_organisation:
             self._organisation_by_name.setdefault(organisation.name, organisation)
             for key in keys:
-                self._organisation_by_digest.setdefault(_digest(key), organisation)
+                self._organisation_by_digest.setdefault(key_digest(key), organisation)
 
     def __len__(self) -> int:
         return len(self._organisation_by_name)
@@ -79,8 +79,9 @@
 
     def find(self, key: bytes | None) -> Organisation | None:
         """Return the organisation that holds ``key``, or None if there is none."""
-        return self._organisation_by_digest.get(_digest(key)) if key is not None else None
+        return self._organisation_by_digest.get(key_digest(key)) if key is not None else None
 
 
-def _digest(key: bytes) -> bytes:
+def key_digest(key: bytes) -> bytes:
+    """Return the digest of an API key, which is comparable only within this process."""
     return blake2b(key, digest_size=DIGEST_BYTES, key=_DIGEST_KEY).digest()
