Name the organisation in a refusal above its usage cap

Cause: operators could not see from the log whose cap was reached.

Change: the detail of the refusal names the organisation; its caller knows the name's owner by its own key. No check of the texts changed.

--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -237,7 +237,8 @@
                 return Refusal(403, Reason.NO_REGION, "no region may serve this request")
         wait_s = self._take_token(organisation)
         if wait_s:
-            return Refusal(429, Reason.OVER_CAP, "the usage cap is reached", wait_s)
+            detail = f"the usage cap of {organisation.name} is reached" if organisation else ""
+            return Refusal(429, Reason.OVER_CAP, detail, wait_s)
         service_name = self._splitter.choose(route)
         service = routing.configuration.service_by_name.get(service_name, Service(service_name))
         self._allowance(service_name).count_request(monotonic())
