Admit requests of organisations with tokens left before drawing for them

Ruled out: longer waits, which add to the response time of each such request; tokens handed out in advance to every instance, which are more than the depth of a small organisation's bucket.

Change: replies to draws name the organisations of which few tokens are left. While an organisation is not among them, an instance with little demand admits up to two requests per window and charges them with its next draw. The allocator's part of the tolerance goes into the refill, so that a caller that sends steadily may use the burst in each window.

--- a/packages/damasktide/src/damasktide/quotas/allocator.py
+++ b/packages/damasktide/src/damasktide/quotas/allocator.py
@@ -30,6 +30,10 @@
 # Tokens for requests to come are handed out only above this part of the depth, so that requests
 # that wait are not refused while other instances hold tokens.
 KEPT_PART = 0.2
+# An organisation is scarce when less than the first part of its tokens is left, until at least the
+# second part is.
+SCARCE_PART = 0.3
+PLENTIFUL_PART = 0.9
 # Use at a standing rate beyond this time is not charged at once: the bucket, which does not fill
 # above its depth, has lost the refill of that time too.
 MAX_CHARGED_S = 2.0
@@ -64,7 +68,9 @@
     ) -> None:
         self.organisation = organisation
         self.depth = limits.depth(organisation)
-        self.bucket = TokenBucket(organisation.requests_per_s, self.depth, now)
+        self._refill_per_s = limits.refill_per_s(organisation)
+        self.is_scarce = False
+        self.bucket = TokenBucket(self._refill_per_s, self.depth, now)
         if not is_new:
             # What an earlier allocator has handed out is unknown.
             self.bucket.charge(now, self.depth - limits.initial_tokens(organisation))
@@ -81,12 +87,19 @@
     ) -> None:
         self.organisation = organisation
         self.depth = limits.depth(organisation)
+        self._refill_per_s = limits.refill_per_s(organisation)
         self.refit(now)
 
     def refit(self, now: float) -> None:
         """Fit the bucket to the tokens held by instances, which count as part of the depth."""
         room = max(1.0, self.depth - self.held)
-        self.bucket.set_rate(self.organisation.requests_per_s, room, now)
+        self.bucket.set_rate(self._refill_per_s, room, now)
+
+    def update_scarcity(self, now: float) -> bool:
+        """Return whether the organisation is scarce now."""
+        part = PLENTIFUL_PART if self.is_scarce else SCARCE_PART
+        self.is_scarce = not self.bucket.has(now, part * max(1.0, self.depth - self.held))
+        return self.is_scarce
 
     def update(self, share: _Share, standing: float, demand_per_s: float, held: int) -> None:
         self.standing += standing - share.standing
@@ -140,6 +153,9 @@
         self._member_by_sender: dict[str, _Member] = {}
         self._instance_names: frozenset[str] = frozenset()
         self._next_sweep_at = now
+        # Organisations that were drawn for since the last sweep, or are scarce.
+        self._watched_ids = set(self._account_by_id)
+        self._scarce: tuple[int, ...] = ()
 
     def set_organisations(self, now: float, organisations: Iterable[Organisation]) -> None:
         """Replace the organisations with a cap."""
@@ -179,7 +195,7 @@
             for item in request.items
             if (account := self._account_by_id.get(item.organisation)) is not None
         )
-        return DrawReply(DrawStatus.GRANTED, self.epoch, items)
+        return DrawReply(DrawStatus.GRANTED, self.epoch, items, self._scarce)
 
     def extend(self, now: float, sender: str) -> DrawReply:
         """Extend the standing rates of an instance without handing out tokens."""
@@ -210,6 +226,7 @@
         item: DrawItem,
         is_from_other_term: bool,
     ) -> GrantItem:
+        self._watched_ids.add(item.organisation)
         share = member.share_by_id.get(item.organisation)
         if share is None:
             share = member.share_by_id[item.organisation] = _Share()
@@ -264,6 +281,7 @@
         if now < self._next_sweep_at:
             return
         self._next_sweep_at = now + SWEEP_INTERVAL_S
+        self._update_scarcity(now)
         if now < self._unknown_until:
             for account in self._account_by_id.values():
                 account.charge_unknown(now)
@@ -278,6 +296,15 @@
                 continue
             self._charge(now, member, has_tokens=silent_s <= token_life_s(count) + 0.2)
 
+    def _update_scarcity(self, now: float) -> None:
+        self._scarce = tuple(
+            key
+            for key in self._watched_ids
+            if (account := self._account_by_id.get(key)) is not None
+            and account.update_scarcity(now)
+        )
+        self._watched_ids = set(self._scarce)
+
     def _charge(self, now: float, member: _Member, has_tokens: bool) -> None:
         elapsed = min(now - member.charged_until, MAX_CHARGED_S)
         member.charged_until = now
--- a/packages/damasktide/src/damasktide/quotas/codec.py
+++ b/packages/damasktide/src/damasktide/quotas/codec.py
@@ -8,8 +8,9 @@
 _DRAW = Struct("<IQ")
 # Organisation, demand, waiting, ahead, held, returned, used, offline, standing rate, total.
 _DRAW_ITEM = Struct("<QfHHHHHHHH")
-# Status and epoch.
-_REPLY = Struct("<BQ")
+# Status, epoch and number of scarce organisations, whose ids follow.
+_REPLY = Struct("<BQH")
+_ID = Struct("<Q")
 # Organisation, granted, standing rate, total, wait.
 _GRANT_ITEM = Struct("<QHHHf")
 # Limit on the items of a message, which is then at most 29 KB long.
@@ -74,7 +75,9 @@
         )
         for item in reply.items
     )
-    return _REPLY.pack(reply.status, reply.epoch) + b"".join(items)
+    scarce = reply.scarce[:MAX_ITEMS]
+    head = _REPLY.pack(reply.status, reply.epoch, len(scarce))
+    return head + b"".join((*map(_ID.pack, scarce), *items))
 
 
 def decode_reply(data: bytes) -> DrawReply:
@@ -86,8 +89,12 @@
         If the message is truncated or too long, or a number is out of range.
     """
     try:
-        status, epoch = _REPLY.unpack_from(data)
-        records = _records(_GRANT_ITEM, data[_REPLY.size :])
+        status, epoch, scarce_count = _REPLY.unpack_from(data)
+        items_at = _REPLY.size + scarce_count * _ID.size
+        scarce = tuple(item[0] for item in _records(_ID, data[_REPLY.size : items_at]))
+        records = _records(_GRANT_ITEM, data[items_at:])
+        if len(scarce) != scarce_count:
+            raise MalformedDrawError(f"{len(scarce)} of {scarce_count} ids")
         items = tuple(
             GrantItem(
                 organisation,
@@ -98,7 +105,7 @@
             )
             for organisation, granted, standing, total, wait_s in records
         )
-        return DrawReply(DrawStatus(status), epoch, items)
+        return DrawReply(DrawStatus(status), epoch, items, scarce)
     except (error, ValueError) as cause:
         raise MalformedDrawError(str(cause)) from cause
 
--- a/packages/damasktide/src/damasktide/quotas/holder.py
+++ b/packages/damasktide/src/damasktide/quotas/holder.py
@@ -33,6 +33,11 @@
 # Tokens of a standing rate accumulate for at most this long.
 STANDING_DEPTH_S = 0.5
 MIN_RETRY_AFTER_S = 0.05
+# While an organisation is not scarce, by a reply of at most this age, an instance with little
+# demand admits this many requests per window before it draws for them. A wait for the allocator
+# takes 60 ms between regions, and a draw for each such request would keep the allocator busy.
+CREDIT_CONTACT_S = 1.0
+CREDIT_REQUESTS = 2
 
 
 class Usage:
@@ -105,6 +110,8 @@
         self._contact_at = float("-inf")
         self._tokens_until = float("-inf")
         self._standing_until = float("-inf")
+        # Ids of organisations of which few tokens are left, by the last reply.
+        self._scarce: frozenset[int] = frozenset()
         # Since when this instance knows that it cannot draw, or None.
         self._offline_since: float | None = None
         self._last_demand_at = float("-inf")
@@ -158,7 +165,7 @@
         if usage.is_steady:
             self._active_by_name[usage.organisation.name] = usage
         if self._offline_since is None:
-            return False
+            return self._take_on_credit(now, usage)
         return self._take_standing(now, usage) or self.take_offline(now, usage)
 
     def take_offline(self, now: float, usage: Usage) -> bool:
@@ -168,6 +175,20 @@
         # An instance with a standing rate needs them only until that has accumulated a token.
         has_standing = usage.standing > 0.0 and now < self._standing_until
         quota = min(1, usage.offline_quota) if has_standing else usage.offline_quota
+        return self._admit_undrawn(now, usage, quota)
+
+    def _take_on_credit(self, now: float, usage: Usage) -> bool:
+        """Admit a request of an organisation that has tokens left; the next draw charges it."""
+        if (
+            usage.is_steady
+            or now >= self._contact_at + CREDIT_CONTACT_S
+            or now < usage.denied_until
+            or usage.id in self._scarce
+        ):
+            return False
+        return self._admit_undrawn(now, usage, CREDIT_REQUESTS)
+
+    def _admit_undrawn(self, now: float, usage: Usage, quota: int) -> bool:
         admissions = usage.offline_admissions
         while admissions and now - admissions[0] >= self._limits.window_s * WINDOW_MARGIN:
             admissions.popleft()
@@ -251,6 +272,7 @@
             for usage in self._usage_by_name.values():
                 usage.standing_bucket = None
         self._epoch = reply.epoch
+        self._scarce = frozenset(reply.scarce)
         self._contact_at = sent_at
         self._tokens_until = sent_at + token_life_s(len(self._instance_names))
         self._standing_until = sent_at + STANDING_LIFE_S
--- a/packages/damasktide/src/damasktide/quotas/limits.py
+++ b/packages/damasktide/src/damasktide/quotas/limits.py
@@ -4,9 +4,9 @@
 
 from damasktide.organisations.organisation import Organisation
 
-# Parts of the tolerated excess. An allocator lets this part accumulate above the burst, so that a
+# Parts of the tolerated excess. An allocator hands out this part in addition to the cap, so that a
 # small organisation whose requests arrive at random is not refused while within its cap.
-DEPTH_PART = 0.4
+ALLOCATOR_PART = 0.4
 # Instances that cannot draw use this part over all of them, and an allocator that they reach again
 # charges it.
 OFFLINE_PART = 0.6
@@ -44,7 +44,17 @@
 
     def depth(self, organisation: Organisation) -> float:
         """Return the largest number of unused tokens over all instances."""
-        return max(1.0, organisation.burst + DEPTH_PART * self.tolerance(organisation))
+        return max(1.0, organisation.burst, ALLOCATOR_PART * self.tolerance(organisation))
+
+    def refill_per_s(self, organisation: Organisation) -> float:
+        """Return the tokens per second that an allocator adds.
+
+        The depth and the refill of a window together are the cap and the allocator's part of the
+        tolerance, so a caller that sends steadily may use the burst in each window.
+        """
+        allowed = self._cap(organisation) + ALLOCATOR_PART * self.tolerance(organisation)
+        refill = (allowed - self.depth(organisation)) / self.window_s
+        return max(organisation.requests_per_s, refill)
 
     def initial_tokens(self, organisation: Organisation) -> float:
         """Return the tokens with which a new allocator starts."""
--- a/packages/damasktide/src/damasktide/quotas/messages.py
+++ b/packages/damasktide/src/damasktide/quotas/messages.py
@@ -160,11 +160,14 @@
         Id of the allocator's term; in a refusal the id of the instance that leads, or 0.
     items
         Items, one for each organisation that the allocator knows.
+    scarce
+        Ids of all organisations of which few tokens are left, drawn for or not.
     """
 
     status: DrawStatus
     epoch: int = 0
     items: tuple[GrantItem, ...] = ()
+    scarce: tuple[int, ...] = ()
 
 
 REFUSED = DrawReply(DrawStatus.REFUSED)
