Learn the speed and limit of targets from the calls of all instances

Cause: an instance makes 0.1 calls/s to each target, so an estimate from its own calls is that of a few calls of some minutes. Change: slice capacity (summaries, table, exchange, learner), policy spare_throughput, setting target_learning, targets that do not respond.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -2,12 +2,16 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from secrets import randbits
 from time import monotonic, time
 
 import gevent
 from loguru import logger
 from prometheus_client import CollectorRegistry
 
+from damasktide.capacity.learner import make_learner
+from damasktide.capacity.metrics import CapacityCollector
+from damasktide.capacity.task import CapacityExchange
 from damasktide.demand.messages import Speed
 from damasktide.demand.task import DemandExchange
 from damasktide.dispatch.dispatcher import Dispatcher
@@ -139,6 +143,8 @@
         self._relay_exchange: RelayExchange | None = None
         self._load_exchange: LoadExchange | None = None
         self._demand_exchange: DemandExchange | None = None
+        self._capacity_exchange: CapacityExchange | None = None
+        learner, summaries = make_learner(settings.target_learning, randbits(32) or 1)
         self._incarnation_by_hash: dict[int, tuple[str, int]] = {}
         self._keyed_services: frozenset[str] = frozenset()
         if listen is not None:
@@ -157,6 +163,13 @@
                 lambda report: self._assignment.tell(DemandObserved(report)),
                 on_failure,
             )
+        if self._relay_exchange is not None and settings.target_learning == "shared":
+            self._capacity_exchange = CapacityExchange(
+                settings.instance,
+                self._relay_exchange,
+                summaries,
+                on_failure,
+            )
         self._targets = TargetTask(
             self._open_store(adapter, reads_from_peer=True, watches_source=True),
             adapter.target_table,
@@ -195,8 +208,12 @@
             settings.domain,
             settings.region_by_domain,
             settings.instance,
+            policy="expected_finish" if learner is None else "spare_throughput",
             drain_s=settings.drain_s,
+            learner=learner,
         )
+        if learner is not None:
+            registry.register(CapacityCollector(self._dispatcher.estimates))
         self._pool = ConnectionPool()
         self._handler = GatewayHandler(self._gateway_context(adapter, registry))
         self._listener = Listener(
@@ -227,6 +244,8 @@
             self._load_exchange.start()
         if self._demand_exchange is not None:
             self._demand_exchange.start()
+        if self._capacity_exchange is not None:
+            self._capacity_exchange.start()
         gevent.spawn(self._mark_ready)
         gevent.spawn(self._run_housekeeping)
         exit_code = self._lifecycle.wait()
--- /dev/null
+++ b/packages/damasktide/src/damasktide/capacity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`damasktide.capacity`."""
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -4,8 +4,14 @@
 from collections.abc import Iterator, Mapping
 from random import Random
 
+from damasktide.capacity.learner import TargetLearner
 from damasktide.dispatch.cold_start import ColdStartLimiter, RegisteredInstances
-from damasktide.dispatch.load_estimate import LoadEstimate, LoadReport
+from damasktide.dispatch.load_estimate import (
+    UNRESPONSIVE_FACTOR,
+    UNRESPONSIVE_OWNER_FACTOR,
+    LoadEstimate,
+    LoadReport,
+)
 from damasktide.dispatch.messages import (
     CallOutcome,
     NoTarget,
@@ -49,6 +55,11 @@
 # An owner that announced its end in a response gets requests for its keys until this long before
 # it stops to serve. Allows for requests that are on their way.
 LEAVING_OWNER_MARGIN_S = 1.0
+# Learned capacities are applied to the estimates this often.
+REFRESH_INTERVAL_S = 0.5
+# The durations of a route's first calls are not learned from: its typical time is that of a few
+# calls then, and the ratios of all of them would have the same error.
+MIN_ROUTE_CALLS = 5
 
 
 class Dispatcher:
@@ -66,6 +77,8 @@
         Name of the policy that ranks targets.
     drain_s
         Seconds for which a target that announced its end still serves requests.
+    learner
+        Learns the capacities of targets, or None if estimates use their own calls only.
     """
 
     def __init__(
@@ -76,6 +89,7 @@
         rng: Random | None = None,
         policy: str = "expected_finish",
         drain_s: float = 0.0,
+        learner: TargetLearner | None = None,
     ) -> None:
         self._domain = domain
         self._region_by_domain = region_by_domain
@@ -87,6 +101,9 @@
         self._estimate_by_incarnation: dict[tuple[str, int], LoadEstimate] = {}
         self._cold_limiter = ColdStartLimiter(instance)
         self._typical_call_s_by_route: dict[str, float] = {}
+        self._call_count_by_route: dict[str, int] = {}
+        self._learner = learner
+        self._refresh_at = float("-inf")
         self._pauses = PauseRegister()
         self._leaving_owner_s = max(0.0, drain_s - LEAVING_OWNER_MARGIN_S)
 
@@ -106,6 +123,23 @@
             estimate.entry = entry
             self._estimate_by_incarnation[entry.incarnation] = estimate
         self._cold_limiter.retain_only(set(view.entry_by_id))
+        self._refresh_at = now
+
+    def estimates(self) -> Iterator[LoadEstimate]:
+        """Yield the estimates of all known targets."""
+        yield from self._estimate_by_incarnation.values()
+
+    def refresh_capacities(self, now: float) -> None:
+        """Apply the learned capacities to the estimates."""
+        self._refresh_at = now + REFRESH_INTERVAL_S
+        if self._learner is None:
+            return
+        capacities = self._learner.capacities(now, self._view.entry_by_id.values())
+        for incarnation, capacity in capacities.items():
+            estimate = self._estimate_by_incarnation[incarnation]
+            estimate.duration_ratio = capacity.duration_ratio
+            estimate.duration_ratio_count = round(capacity.weight)
+            estimate.limit_fraction = capacity.limit_fraction
 
     def set_instances(self, instances: RegisteredInstances) -> None:
         """Replace the instances that share the request rate of cold targets."""
@@ -130,6 +164,8 @@
 
     def choose(self, now: float, query: TargetQuery) -> TargetSelection | NoTarget:
         """Select a target and count the call as in flight until :meth:`record_outcome`."""
+        if self._learner is not None and now >= self._refresh_at:
+            self.refresh_capacities(now)
         estimate = (
             self._find_owner(now, query)
             if query.owner_id is not None
@@ -168,6 +204,8 @@
             estimate.record_report(now, outcome.report)
         is_lost = outcome.is_unreachable or outcome.is_abandoned or outcome.has_no_response
         estimate.record_call_end(now, has_response=not is_lost)
+        if self._learner is not None and is_lost and not outcome.is_unreachable:
+            self._learn_from_silence(now, estimate, outcome)
         if outcome.is_unreachable:
             estimate.record_unreachable(now)
         if outcome.is_misdirected and not outcome.is_keyed:
@@ -182,8 +220,10 @@
             self._update_estimates(now, estimate, outcome)
 
     def _update_estimates(self, now: float, estimate: LoadEstimate, outcome: CallOutcome) -> None:
-        round_trip_s = self._round_trip_s(outcome.entry.domain)
-        processing_s = max(0.001, outcome.duration_s - round_trip_s)
+        if self._learner is not None:
+            self._learn_from_response(now, self._learner, estimate, outcome)
+            return
+        processing_s = self._processing_s(outcome)
         typical_call_s = self._typical_call_s_by_route.get(outcome.route)
         if typical_call_s is None:
             self._typical_call_s_by_route[outcome.route] = processing_s
@@ -194,6 +234,48 @@
         )
         estimate.record_duration_ratio(unloaded_s / typical_call_s)
 
+    def _learn_from_response(
+        self, now: float, learner: TargetLearner, estimate: LoadEstimate, outcome: CallOutcome
+    ) -> None:
+        """Learn the typical time of the route and the target's duration ratio from a call."""
+        slowdown, report = estimate.slowdown(now), outcome.report
+        # What this instance knew of the load when it chose the target may have been outdated.
+        load_factor = estimate.load_factor_of(report) if report else outcome.load_factor
+        unloaded_s = self._processing_s(outcome) / (slowdown * load_factor)
+        count = self._call_count_by_route.get(outcome.route, 0) + 1
+        self._call_count_by_route[outcome.route] = count
+        normal_s = unloaded_s / estimate.duration_ratio
+        typical_call_s = self._typical_call_s_by_route.get(outcome.route, normal_s)
+        self._typical_call_s_by_route[outcome.route] = typical_call_s + max(
+            TYPICAL_TIME_WEIGHT, 1.0 / count
+        ) * (normal_s - typical_call_s)
+        if count > MIN_ROUTE_CALLS:
+            # Slowdown and queue change during a call, so the correction for them is inexact.
+            weight = 1.0 / max(1.0, slowdown * load_factor)
+            calls = report.running + report.waiting + 1 if report else 1
+            occupancy = calls / max(1, outcome.entry.slots)
+            ratio = unloaded_s / typical_call_s
+            learner.record_call(now, outcome.entry, ratio, weight, occupancy)
+
+    def _learn_from_silence(
+        self, now: float, estimate: LoadEstimate, outcome: CallOutcome
+    ) -> None:
+        """Learn from a call that ended without a response, for example after its hedge."""
+        typical_call_s = self._typical_call_s_by_route.get(outcome.route)
+        if typical_call_s is None or self._learner is None:
+            return
+        estimate.record_no_response(now, outcome.duration_s, typical_call_s)
+        load_factor = max(outcome.load_factor, estimate.load_factor(now))
+        ratio = self._processing_s(outcome) / (
+            typical_call_s * estimate.slowdown(now) * load_factor
+        )
+        if ratio > estimate.duration_ratio:
+            # The call would have taken at least this long.
+            self._learner.record_call(now, outcome.entry, ratio, 1.0 / load_factor, 0.0)
+
+    def _processing_s(self, outcome: CallOutcome) -> float:
+        return max(0.001, outcome.duration_s - self._round_trip_s(outcome.entry.domain))
+
     def _find_owner(self, now: float, query: TargetQuery) -> LoadEstimate | NoTarget:
         assert query.owner_id is not None
         entry = self._view.usable(query.owner_id) or self._leaving_owner(now, query.owner_id)
@@ -205,6 +287,8 @@
         estimate = self._estimate_by_incarnation[entry.incarnation]
         if now < estimate.unreachable_until:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
+        if not self._responsive(now, [estimate], query, UNRESPONSIVE_OWNER_FACTOR):
+            return NoTarget(NoTargetReason.TOO_LATE, MAX_RETRY_AFTER_S)
         if not self._may_send_to_cold(now, estimate, query.service):
             return NoTarget(NoTargetReason.ALL_COLD, RECOVERY_RETRY_AFTER_S)
         return self._admit_if_in_time(now, estimate, query)
@@ -236,6 +320,9 @@
         reachable = [estimate for estimate in estimates if now >= estimate.unreachable_until]
         if not reachable:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
+        reachable = self._responsive(now, reachable, query, UNRESPONSIVE_FACTOR)
+        if not reachable:
+            return NoTarget(NoTargetReason.TOO_LATE, MAX_RETRY_AFTER_S)
         idle = self._find_idle_in_sample(now, reachable, query)
         if idle is not None:
             return idle
@@ -317,6 +404,19 @@
             now, entry.target_id, entry.domain, service.cold_requests_per_s, self._instances
         )
 
+    def _responsive(
+        self, now: float, estimates: list[LoadEstimate], query: TargetQuery, factor: float
+    ) -> list[LoadEstimate]:
+        """Return the targets that do not count as full for lack of a response."""
+        if self._learner is None:
+            return estimates
+        typical_call_s = self.typical_call_s(query.route, query.objective_s)
+        return [
+            estimate
+            for estimate in estimates
+            if not estimate.is_unresponsive(now, typical_call_s, factor)
+        ]
+
     def _is_allowed(self, entry: TargetEntry, query: TargetQuery) -> bool:
         return not query.regions or self._region_by_domain.get(entry.domain) in query.regions
 
--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -32,6 +32,18 @@
 # A target that has responded to none of its calls for this many times the expected duration of one
 # may be unresponsive. Each further second without a response is added to its expected finish time.
 OVERDUE_FACTOR = 2.5
+# A target that has responded to none of its calls for this many times the expected duration counts
+# as full. Few calls take as long: the longest 1 to 3% take 5 to 7 times as long as the others.
+UNRESPONSIVE_FACTOR = 5.0
+# The same for the owner of a key, whose requests no other target can serve meanwhile.
+UNRESPONSIVE_OWNER_FACTOR = 8.0
+# So does a target of which this many calls in succession ended without a response after more than
+# OVERDUE_FACTOR times the expected duration. Calls whose hedge has responded end early.
+UNRESPONSIVE_CALLS = 2
+# Time until one more call is made to a target that counts as full for lack of a response, doubled
+# by each further call without one.
+MIN_UNRESPONSIVE_BACKOFF_S = 1.0
+MAX_UNRESPONSIVE_BACKOFF_S = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +81,17 @@
         "_no_response_since",
         "_other_calls",
         "_reported_at",
+        "_silent_calls",
         "_slowdown",
+        "_unresponsive_count",
+        "_unresponsive_since",
+        "_unresponsive_until",
         "cold_until",
         "duration_ratio",
         "duration_ratio_count",
         "entry",
         "in_flight",
+        "limit_fraction",
         "suspected_cold_until",
         "unreachable_count",
         "unreachable_until",
@@ -85,6 +102,7 @@
         self.in_flight = 0
         self.duration_ratio = 1.0
         self.duration_ratio_count = 0
+        self.limit_fraction = 1.0
         self.cold_until = float("-inf")
         self.suspected_cold_until = float("-inf")
         self.unreachable_until = float("-inf")
@@ -95,6 +113,15 @@
         self._no_response_since = 0.0
         self._failure_ratio = 0.0
         self._failure_at = 0.0
+        self._silent_calls = 0
+        self._unresponsive_count = 0
+        self._unresponsive_since = 0.0
+        self._unresponsive_until = float("-inf")
+
+    @property
+    def capacity(self) -> float:
+        """Number of concurrent calls that the target handles well."""
+        return max(1, self.entry.slots) * self.limit_fraction
 
     def record_call_start(self, now: float) -> None:
         """Record the start of a call."""
@@ -107,6 +134,34 @@
         self.in_flight = max(0, self.in_flight - 1)
         if has_response:
             self._no_response_since = now
+            self._silent_calls = 0
+            self._unresponsive_count = 0
+            self._unresponsive_until = float("-inf")
+
+    def record_no_response(self, now: float, duration_s: float, typical_call_s: float) -> None:
+        """Record that a call ended without a response after ``duration_s`` seconds."""
+        expected_s = self._call_s(now, typical_call_s) * self.load_factor(now)
+        if duration_s < OVERDUE_FACTOR * expected_s:
+            return
+        self._silent_calls += 1
+        is_certain = duration_s >= UNRESPONSIVE_FACTOR * expected_s
+        if is_certain or self._silent_calls >= UNRESPONSIVE_CALLS:
+            backoff_s = MIN_UNRESPONSIVE_BACKOFF_S * 2.0 ** min(self._unresponsive_count, 8)
+            self._unresponsive_count += 1
+            self._unresponsive_since = now
+            self._unresponsive_until = now + min(MAX_UNRESPONSIVE_BACKOFF_S, backoff_s)
+
+    def is_unresponsive(self, now: float, typical_call_s: float, factor: float) -> bool:
+        """Return whether the target counts as full because it does not respond.
+
+        ``factor`` is the multiple of the expected duration of a call that is waited for it.
+        """
+        if now < self._unresponsive_until:
+            return True
+        if self.in_flight == 0:
+            return False
+        expected_s = self._call_s(now, typical_call_s) * self.load_factor(now)
+        return now - self._no_response_since > factor * expected_s
 
     def record_report(self, now: float, report: LoadReport) -> None:
         """Record a report that arrived with a response; its call still counts as in flight."""
@@ -115,8 +170,11 @@
 
     def record_peer_report(self, now: float, report: LoadReport, age_s: float) -> None:
         """Record a report that another instance received ``age_s`` seconds ago."""
-        if now - age_s > self._reported_at:
-            self._apply_report(report, self.in_flight, now - age_s)
+        reported_at = now - age_s
+        if reported_at > self._reported_at:
+            self._apply_report(report, self.in_flight, reported_at)
+        if reported_at > self._unresponsive_since and report.running < report.slots:
+            self._unresponsive_until = float("-inf")
 
     def record_shed(self, now: float, queue_calls: int) -> None:
         """Record that the target refused a request because it is overloaded."""
@@ -181,15 +239,18 @@
 
     def load_factor(self, now: float) -> float:
         """Return the duration of one more call relative to one at an idle target."""
-        slots = max(1, self.entry.slots)
-        calls = self.calls(now)
-        occupancy = min(1.0, calls / slots)
-        busy_slowdown = 1.0 + FULL_OCCUPANCY_SLOWDOWN * occupancy * occupancy
-        return busy_slowdown * (1.0 + max(0.0, calls + 1.0 - slots) / slots)
+        return _load_factor(self.calls(now), self.capacity)
+
+    def load_factor_of(self, report: LoadReport) -> float:
+        """Return the load factor of a call with whose response the target made a report.
+
+        The learned limit is not applied, because it is derived from durations without this factor.
+        """
+        return _load_factor(report.running + report.waiting, max(1, self.entry.slots))
 
     def has_free_slot(self, now: float) -> bool:
         """Return whether one more call would probably start without waiting."""
-        return self.calls(now) + 1.0 <= self.entry.slots
+        return self.calls(now) + 1.0 <= self.entry.slots * self.limit_fraction
 
     def overdue_s(self, now: float, typical_call_s: float) -> float:
         """Return how long the next response of the target is overdue, in seconds."""
@@ -205,3 +266,9 @@
 
     def _call_s(self, now: float, typical_call_s: float) -> float:
         return typical_call_s * self.duration_ratio * self.slowdown(now)
+
+
+def _load_factor(calls: float, slots: float) -> float:
+    occupancy = min(1.0, calls / slots)
+    busy_slowdown = 1.0 + FULL_OCCUPANCY_SLOWDOWN * occupancy * occupancy
+    return busy_slowdown * (1.0 + max(0.0, calls + 1.0 - slots) / slots)
--- a/packages/damasktide/src/damasktide/dispatch/policies.py
+++ b/packages/damasktide/src/damasktide/dispatch/policies.py
@@ -13,6 +13,11 @@
 # Random increase of the expected finish time, as a fraction, so that instances with the same load
 # reports do not all choose the same target.
 JITTER_FRACTION = 0.15
+# A full target still has this fraction of its capacity in the ranking by spare throughput; what
+# the queue costs is added as a time.
+MIN_FREE_FRACTION = 0.1
+# Mean of the random time of an idle target, as a fraction of its call time.
+RANDOM_TIME_FRACTION = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +60,28 @@
     return max(0.0, excess) * context.typical_call_s / max(1, estimate.entry.slots)
 
 
+@dispatch_policies.register("spare_throughput")
+def spare_throughput(estimate: LoadEstimate, context: RankingContext, rng: Random) -> float:
+    """Return a random time whose mean is inverse to the target's speed and its free capacity.
+
+    The smallest of exponentially distributed times is that of a target with a probability
+    proportional to its rate. Targets thus get calls in proportion to their spare throughput, and
+    instances with the same knowledge do not choose the same target. Failures and waiting time are
+    counted as in :func:`expected_finish`.
+    """
+    now, typical_call_s = context.now, context.typical_call_s
+    calls, capacity = estimate.calls(now), estimate.capacity
+    call_s = typical_call_s * estimate.duration_ratio * estimate.slowdown(now)
+    free = max(MIN_FREE_FRACTION, (capacity - calls) / max(1, estimate.entry.slots))
+    wait_s = call_s * max(0.0, calls + 1.0 - capacity) / capacity
+    failures_s = FAILURE_COST_CALLS * typical_call_s * estimate.failure_ratio(now)
+    random_s = RANDOM_TIME_FRACTION * call_s / free * rng.expovariate(1.0)
+    overdue_s = estimate.overdue_s(now, typical_call_s)
+    return (
+        random_s + wait_s + failures_s + overdue_s + _reserved_slots_penalty_s(estimate, context)
+    )
+
+
 @dispatch_policies.register("least_calls")
 def least_calls(estimate: LoadEstimate, context: RankingContext, rng: Random) -> float:
     """Return the estimated calls per slot, scaled to a time; ignore speed and failures."""
--- a/packages/damasktide/src/damasktide/relay/sources.py
+++ b/packages/damasktide/src/damasktide/relay/sources.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from itertools import islice
 
-from damasktide.relay.tree import RelayPeer, Upstream, parent
+from damasktide.relay.tree import RelayPeer, Upstream, parent, subtree_size
 
 # An instance that did not reply is excluded for this time, doubled by each further failure.
 MIN_PEER_BACKOFF_S = 2.0
@@ -90,6 +90,10 @@
         """Return the instance to request changes from, or None if the store is to be called."""
         return self.domain_source(now) or next(self._upstream_sources(now), None)
 
+    def subtree_size(self, name: str) -> int:
+        """Return how many instances are ``name`` or below it in the tree of this domain."""
+        return subtree_size(self._order, name)
+
     def domain_source(self, now: float) -> RelaySource | None:
         """Return the parent in the tree of this failure domain, or None for its root."""
         peer, depth = parent(self._order, self._name, self._excluded_names(now))
--- a/packages/damasktide/src/damasktide/relay/tree.py
+++ b/packages/damasktide/src/damasktide/relay/tree.py
@@ -74,6 +74,17 @@
     return parent_peer, _depth(index)
 
 
+def subtree_size(order: Sequence[RelayPeer], name: str) -> int:
+    """Return how many instances of the tree are ``name`` or below it; at least 1."""
+    start = next((index for index, peer in enumerate(order) if peer.name == name), len(order))
+    end = start
+    count = 1
+    while (start := start * FAN_OUT + 1) < len(order):
+        end = end * FAN_OUT + FAN_OUT
+        count += min(len(order) - 1, end) - start + 1
+    return count
+
+
 def upstream(
     peers_by_domain: Mapping[str, Sequence[RelayPeer]],
     region_by_domain: Mapping[str, str],
--- a/packages/damasktide/src/damasktide/settings/gateway.py
+++ b/packages/damasktide/src/damasktide/settings/gateway.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Literal
 
 from damasktide.dispatch.retry_allowance import RetryLimits
 from damasktide.settings.model import Address
 
+TargetLearning = Literal["off", "own", "shared"]
+
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
@@ -39,6 +42,10 @@
         Seconds for which a target that announced its end still serves requests.
     check_in_interval_s
         Interval in seconds at which targets check in; 0 if it is not known.
+    target_learning
+        What is learned of the speed and the concurrency limit of targets: ``off`` for the speed
+        seen by this instance's own calls, ``own`` for both from its own calls, and ``shared`` for
+        both from the calls of all instances.
     log_level
         Minimum level of log lines.
     """
@@ -56,4 +63,5 @@
     link_mbps: float = 0.0
     drain_s: float = 0.0
     check_in_interval_s: float = 0.0
+    target_learning: TargetLearning = "off"
     log_level: str = "INFO"
