--- a/packages/damasktide/src/damasktide/dispatch/policies.py
+++ b/packages/damasktide/src/damasktide/dispatch/policies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import pow
 from random import Random
 
 from damasktide.dispatch.load_estimate import LoadEstimate
@@ -76,7 +77,7 @@
     free = max(MIN_FREE_FRACTION, (capacity - calls) / max(1, estimate.entry.slots))
     wait_s = call_s * max(0.0, calls + 1.0 - capacity) / capacity
     failures_s = FAILURE_COST_CALLS * typical_call_s * estimate.failure_ratio(now)
-    relative_rate = free / (call_s / typical_call_s) ** SPEED_EXPONENT
+    relative_rate = free / pow(call_s / typical_call_s, SPEED_EXPONENT)
     random_s = typical_call_s / relative_rate * rng.expovariate(1.0)
     overdue_s = estimate.overdue_s(now, typical_call_s)
     return (
