Draw the limit of a target closer to that of its service

Cause: a target's own calls say little about a knee in 30 s, so equal targets got limits of half to all of their slots, and calls in that proportion. Change: a target needs 30 calls, before 8, to differ from its service.

--- a/packages/damasktide/src/damasktide/capacity/learner.py
+++ b/packages/damasktide/src/damasktide/capacity/learner.py
@@ -30,7 +30,7 @@
 # speed, and over the targets of a service. Weights of these assumptions in calls: that a target is
 # like the others of its service, and that a service has no such slowdown.
 KNEE_TAU_S = 30.0
-KNEE_TARGET_PRIOR = 8.0
+KNEE_TARGET_PRIOR = 30.0
 KNEE_SERVICE_PRIOR = 20.0
 
 
--- a/packages/damasktide/src/damasktide/capacity/tests/test_loads.py
+++ b/packages/damasktide/src/damasktide/capacity/tests/test_loads.py
@@ -75,7 +75,7 @@
     def test_targets_that_hang_when_full(self) -> None:
         """Guards against instances that keep sending to a target that does not respond."""
         slow = range(10)
-        load = Load(hangs=True, slow={number: (1e6, 6.0, 99.0) for number in slow})
+        load = Load(hangs=True, slow=dict.fromkeys(slow, (1000000.0, 6.0, 99.0)))
         world = run(load, 10.0)
         before = sum(world.targets[number].arrivals for number in slow)
         world.run(14.0)
