Share overdue responses; do not take a target without reports for an idle one

Only instances that had lost a call avoided them, and targets without reports ranked as idle. Ruled out: the own exclusion alone, because an instance has a call to a target in 10 s. Change: a target whose response is overdue counts in the shared summaries twice a second; the ranking assumes the mean number of calls where no recent report is known.

--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -58,6 +58,9 @@
 LEAVING_OWNER_MARGIN_S = 1.0
 # Learned capacities are applied to the estimates this often.
 REFRESH_INTERVAL_S = 0.5
+# Weight, at each refresh, of a target whose response is overdue. Without it, the other instances
+# would learn that a target does not respond only when the first calls reach their deadlines.
+OVERDUE_WEIGHT = 1.0
 # The durations of a route's first calls are not learned from: its typical time is that of a few
 # calls then, and the ratios of all of them would have the same error.
 MIN_ROUTE_CALLS = 5
@@ -106,6 +109,7 @@
         self._typical_call_s_by_route: dict[str, float] = {}
         # Typical time at an idle target; only used to learn the ratios of targets.
         self._unloaded_call_s_by_route: dict[str, float] = {}
+        self._mean_calls_by_service: dict[str, float] = {}
         self._call_count_by_route: dict[str, int] = {}
         self._learner = learner
         self._refresh_at = float("-inf")
@@ -139,6 +143,11 @@
         self._refresh_at = now + REFRESH_INTERVAL_S
         if self._learner is None:
             return
+        for estimate in self._estimate_by_incarnation.values():
+            ratio = estimate.overdue_ratio(now)
+            if ratio > 0.0:
+                occupancy = (estimate.last_reported_calls + 1.0) / max(1, estimate.entry.slots)
+                self._learner.record_call(now, estimate.entry, ratio, OVERDUE_WEIGHT, occupancy)
         capacities = self._learner.capacities(now, self._view.entry_by_id.values())
         for incarnation, capacity in capacities.items():
             estimate = self._estimate_by_incarnation[incarnation]
@@ -195,7 +204,7 @@
         )
         if estimate.is_cold(now):
             self._cold_limiter.record_send(now, estimate.entry.target_id)
-        estimate.record_call_start(now)
+        estimate.record_call_start(now, typical_call_s)
         return selection
 
     def record_peer_report(
@@ -256,6 +265,9 @@
         unloaded_s = self._processing_s(outcome) / (slowdown * load_factor)
         calls = report.running + report.waiting + 1 if report else 1
         occupancy = calls / max(1, outcome.entry.slots)
+        if report is not None:
+            mean_calls, service = self._mean_calls_by_service, outcome.entry.service
+            _update_mean(mean_calls, service, float(calls - 1), TYPICAL_TIME_WEIGHT)
         count = self._call_count_by_route.get(outcome.route, 0) + 1
         self._call_count_by_route[outcome.route] = count
         weight = max(TYPICAL_TIME_WEIGHT, 1.0 / count)
@@ -389,7 +401,10 @@
     ) -> list[tuple[float, LoadEstimate]]:
         typical_call_s = self.typical_call_s(query.route, query.objective_s)
         context = RankingContext(
-            now, typical_call_s, _value_for_rank(RESERVED_SLOT_FRACTION_BY_RANK, query.rank)
+            now,
+            typical_call_s,
+            _value_for_rank(RESERVED_SLOT_FRACTION_BY_RANK, query.rank),
+            self._mean_calls_by_service.get(query.service.name, 0.0),
         )
         ranked = [
             (
@@ -460,12 +475,10 @@
         return 0.0 if self.is_in_own_region(domain) else REGION_ROUND_TRIP_S
 
 
-def _update_mean(
-    mean_by_route: dict[str, float], route: str, value: float, weight: float
-) -> float:
+def _update_mean(mean_by_name: dict[str, float], name: str, value: float, weight: float) -> float:
     """Update a moving average, and return its former value, or ``value`` if there was none."""
-    former = mean_by_route.get(route, value)
-    mean_by_route[route] = former + weight * (value - former)
+    former = mean_by_name.get(name, value)
+    mean_by_name[name] = former + weight * (value - former)
     return former
 
 
--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -80,6 +80,7 @@
         "_failure_ratio",
         "_no_response_since",
         "_other_calls",
+        "_pending_call_s",
         "_reported_at",
         "_silent_calls",
         "_slowdown",
@@ -113,6 +114,7 @@
         self._no_response_since = 0.0
         self._failure_ratio = 0.0
         self._failure_at = 0.0
+        self._pending_call_s = 0.0
         self._silent_calls = 0
         self._unresponsive_count = 0
         self._unresponsive_since = 0.0
@@ -123,10 +125,12 @@
         """Number of concurrent calls that the target handles well."""
         return max(1, self.entry.slots) * self.limit_fraction
 
-    def record_call_start(self, now: float) -> None:
+    def record_call_start(self, now: float, typical_call_s: float) -> None:
         """Record the start of a call."""
         if self.in_flight == 0:
             self._no_response_since = now
+            self._pending_call_s = 0.0
+        self._pending_call_s = max(self._pending_call_s, typical_call_s)
         self.in_flight += 1
 
     def record_call_end(self, now: float, has_response: bool) -> None:
@@ -163,6 +167,14 @@
         expected_s = self._call_s(now, typical_call_s) * self.load_factor(now)
         return now - self._no_response_since > factor * expected_s
 
+    def overdue_ratio(self, now: float) -> float:
+        """Return the least duration ratio that the lack of a response shows, or 0."""
+        if self.in_flight == 0 or self._pending_call_s <= 0.0:
+            return 0.0
+        expected_s = self._pending_call_s * self.slowdown(now) * self.load_factor(now)
+        ratio = (now - self._no_response_since) / expected_s
+        return ratio if ratio > max(OVERDUE_FACTOR, self.duration_ratio) else 0.0
+
     def record_report(self, now: float, report: LoadReport) -> None:
         """Record a report that arrived with a response; its call still counts as in flight."""
         # The target makes the report after the call has left its slot.
@@ -220,6 +232,11 @@
         """Return the estimated number of calls at the target from all instances."""
         return self.in_flight + self._other_calls * exp((self._reported_at - now) / REPORT_TAU_S)
 
+    def calls_around(self, now: float, mean_calls: float) -> float:
+        """Return the estimated number of calls, which without a report is the mean of targets."""
+        known_fraction = exp((self._reported_at - now) / REPORT_TAU_S)
+        return self.calls(now) + (1.0 - known_fraction) * mean_calls
+
     @property
     def last_reported_calls(self) -> float:
         """Number of other calls in the last report, regardless of its age."""
--- a/packages/damasktide/src/damasktide/dispatch/policies.py
+++ b/packages/damasktide/src/damasktide/dispatch/policies.py
@@ -34,11 +34,14 @@
         Typical duration of such a call, in seconds.
     reserved_fraction
         Fraction of a target's slots that is reserved for more urgent requests.
+    mean_calls
+        Mean number of calls at a target of the service.
     """
 
     now: float
     typical_call_s: float
     reserved_fraction: float = 0.0
+    mean_calls: float = 0.0
 
 
 Policy = Callable[[LoadEstimate, RankingContext, Random], float]
@@ -74,7 +77,9 @@
     now, typical_call_s = context.now, context.typical_call_s
     calls, capacity = estimate.calls(now), estimate.capacity
     call_s = typical_call_s * estimate.duration_ratio * estimate.slowdown(now)
-    free = max(MIN_FREE_FRACTION, (capacity - calls) / max(1, estimate.entry.slots))
+    # A target without a recent report is not taken for an idle one: it may not respond at all.
+    used = estimate.calls_around(now, context.mean_calls)
+    free = max(MIN_FREE_FRACTION, (capacity - used) / max(1, estimate.entry.slots))
     wait_s = call_s * max(0.0, calls + 1.0 - capacity) / capacity
     failures_s = FAILURE_COST_CALLS * typical_call_s * estimate.failure_ratio(now)
     relative_rate = free / pow(call_s / typical_call_s, SPEED_EXPONENT)
