--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -2,10 +2,17 @@
 
 from collections import defaultdict
 from collections.abc import Iterator, Mapping
+from dataclasses import replace
 from random import Random
 
+from damasktide.capacity.learner import KNEE_OCCUPANCY, TargetLearner
 from damasktide.dispatch.cold_start import ColdStartLimiter, RegisteredInstances
-from damasktide.dispatch.load_estimate import LoadEstimate, LoadReport
+from damasktide.dispatch.load_estimate import (
+    UNRESPONSIVE_FACTOR,
+    UNRESPONSIVE_OWNER_FACTOR,
+    LoadEstimate,
+    LoadReport,
+)
 from damasktide.dispatch.messages import (
     CallOutcome,
     NoTarget,
@@ -49,6 +56,16 @@
 # An owner that announced its end in a response gets requests for its keys until this long before
 # it stops to serve. Allows for requests that are on their way.
 LEAVING_OWNER_MARGIN_S = 1.0
+# Learned capacities are applied to the estimates this often.
+REFRESH_INTERVAL_S = 0.5
+# Weight, at each refresh, of a target whose response is overdue. Without it, the other instances
+# would learn that a target does not respond only when the first calls reach their deadlines.
+OVERDUE_WEIGHT = 1.0
+# The durations of a route's first calls are not learned from: its typical time is that of a few
+# calls then, and the ratios of all of them would have the same error.
+MIN_ROUTE_CALLS = 5
+# Weight of a call at a busy target in the typical call time, relative to one at another target.
+BUSY_TYPICAL_TIME_FRACTION = 0.1
 
 
 class Dispatcher:
@@ -66,6 +83,8 @@
         Name of the policy that ranks targets.
     drain_s
         Seconds for which a target that announced its end still serves requests.
+    learner
+        Learns the capacities of targets, or None if estimates use their own calls only.
     """
 
     def __init__(
@@ -76,6 +95,7 @@
         rng: Random | None = None,
         policy: str = "expected_finish",
         drain_s: float = 0.0,
+        learner: TargetLearner | None = None,
     ) -> None:
         self._domain = domain
         self._region_by_domain = region_by_domain
@@ -87,6 +107,12 @@
         self._estimate_by_incarnation: dict[tuple[str, int], LoadEstimate] = {}
         self._cold_limiter = ColdStartLimiter(instance)
         self._typical_call_s_by_route: dict[str, float] = {}
+        # Typical time at an idle target; only used to learn the ratios of targets.
+        self._unloaded_call_s_by_route: dict[str, float] = {}
+        self._mean_calls_by_service: dict[str, float] = {}
+        self._call_count_by_route: dict[str, int] = {}
+        self._learner = learner
+        self._refresh_at = float("-inf")
         self._pauses = PauseRegister()
         self._leaving_owner_s = max(0.0, drain_s - LEAVING_OWNER_MARGIN_S)
 
@@ -106,6 +132,35 @@
             estimate.entry = entry
             self._estimate_by_incarnation[entry.incarnation] = estimate
         self._cold_limiter.retain_only(set(view.entry_by_id))
+        self._refresh_at = now
+
+    def estimates(self) -> Iterator[LoadEstimate]:
+        """Yield the estimates of all known targets."""
+        yield from self._estimate_by_incarnation.values()
+
+    def refresh_capacities(self, now: float) -> None:
+        """Apply the learned capacities to the estimates."""
+        self._refresh_at = now + REFRESH_INTERVAL_S
+        if self._learner is None:
+            return
+        for estimate in self._estimate_by_incarnation.values():
+            ratio = estimate.overdue_ratio(now)
+            if ratio > 0.0:
+                occupancy = (estimate.last_reported_calls + 1.0) / max(1, estimate.entry.slots)
+                self._learner.record_call(now, estimate.entry, ratio, OVERDUE_WEIGHT, occupancy)
+        capacities = self._learner.capacities(now, self._view.entry_by_id.values())
+        for incarnation, capacity in capacities.items():
+            estimate = self._estimate_by_incarnation[incarnation]
+            estimate.duration_ratio = capacity.duration_ratio
+            estimate.duration_ratio_count = round(capacity.weight)
+            estimate.limit_fraction = capacity.limit_fraction
+
+    def limited_report(self, incarnation: tuple[str, int], report: LoadReport) -> LoadReport:
+        """Return a load report with the number of calls that the target handles well as slots."""
+        estimate = self._estimate_by_incarnation.get(incarnation)
+        if estimate is None or estimate.limit_fraction >= 1.0:
+            return report
+        return replace(report, slots=max(1, round(report.slots * estimate.limit_fraction)))
 
     def set_instances(self, instances: RegisteredInstances) -> None:
         """Replace the instances that share the request rate of cold targets."""
@@ -130,6 +185,8 @@
 
     def choose(self, now: float, query: TargetQuery) -> TargetSelection | NoTarget:
         """Select a target and count the call as in flight until :meth:`record_outcome`."""
+        if self._learner is not None and now >= self._refresh_at:
+            self.refresh_capacities(now)
         estimate = (
             self._find_owner(now, query)
             if query.owner_id is not None
@@ -147,7 +204,7 @@
         )
         if estimate.is_cold(now):
             self._cold_limiter.record_send(now, estimate.entry.target_id)
-        estimate.record_call_start(now)
+        estimate.record_call_start(now, typical_call_s)
         return selection
 
     def record_peer_report(
@@ -168,6 +225,8 @@
             estimate.record_report(now, outcome.report)
         is_lost = outcome.is_unreachable or outcome.is_abandoned or outcome.has_no_response
         estimate.record_call_end(now, has_response=not is_lost)
+        if self._learner is not None and is_lost and not outcome.is_unreachable:
+            self._learn_from_silence(now, estimate, outcome)
         if outcome.is_unreachable:
             estimate.record_unreachable(now)
         if outcome.is_misdirected and not outcome.is_keyed:
@@ -182,8 +241,10 @@
             self._update_estimates(now, estimate, outcome)
 
     def _update_estimates(self, now: float, estimate: LoadEstimate, outcome: CallOutcome) -> None:
-        round_trip_s = self._round_trip_s(outcome.entry.domain)
-        processing_s = max(0.001, outcome.duration_s - round_trip_s)
+        if self._learner is not None:
+            self._learn_from_response(now, self._learner, estimate, outcome)
+            return
+        processing_s = self._processing_s(outcome)
         typical_call_s = self._typical_call_s_by_route.get(outcome.route)
         if typical_call_s is None:
             self._typical_call_s_by_route[outcome.route] = processing_s
@@ -194,6 +255,68 @@
         )
         estimate.record_duration_ratio(unloaded_s / typical_call_s)
 
+    def _learn_from_response(
+        self, now: float, learner: TargetLearner, estimate: LoadEstimate, outcome: CallOutcome
+    ) -> None:
+        """Learn the typical time of the route and the target's duration ratio from a call."""
+        slowdown, report = estimate.slowdown(now), outcome.report
+        # What this instance knew of the load when it chose the target may have been outdated, and
+        # requests that the report counts may have arrived after this one. The smaller factor does
+        # not take a growing queue for a fast target, which would get even more requests.
+        load_factor = outcome.load_factor
+        if report is not None:
+            load_factor = min(load_factor, estimate.load_factor_of(report))
+        unloaded_s = self._processing_s(outcome) / (slowdown * load_factor)
+        calls = report.running + report.waiting + 1 if report else 1
+        occupancy = calls / max(1, outcome.entry.slots)
+        if report is not None:
+            mean_calls, service = self._mean_calls_by_service, outcome.entry.service
+            _update_mean(mean_calls, service, float(calls - 1), TYPICAL_TIME_WEIGHT)
+        count = self._call_count_by_route.get(outcome.route, 0) + 1
+        self._call_count_by_route[outcome.route] = count
+        weight = max(TYPICAL_TIME_WEIGHT, 1.0 / count)
+        # The typical time is relative to the load that this instance knew of at the choice, as in
+        # the expected time of the next choice.
+        known_s = self._processing_s(outcome) / (slowdown * outcome.load_factor)
+        _update_mean(
+            self._typical_call_s_by_route,
+            outcome.route,
+            known_s / estimate.duration_ratio,
+            weight,
+        )
+        if occupancy > KNEE_OCCUPANCY:
+            # If all targets are slower when busy, that must not become the typical time.
+            weight *= BUSY_TYPICAL_TIME_FRACTION
+        normal_s = unloaded_s / estimate.duration_ratio
+        unloaded_typical_s = _update_mean(
+            self._unloaded_call_s_by_route, outcome.route, normal_s, weight
+        )
+        if count > MIN_ROUTE_CALLS:
+            # Slowdown and queue change during a call, so the correction for them is inexact.
+            confidence = 1.0 / max(1.0, slowdown * load_factor)
+            ratio = unloaded_s / unloaded_typical_s
+            learner.record_call(now, outcome.entry, ratio, confidence, occupancy)
+
+    def _learn_from_silence(
+        self, now: float, estimate: LoadEstimate, outcome: CallOutcome
+    ) -> None:
+        """Learn from a call that ended without a response, for example after its hedge."""
+        typical_call_s = self._typical_call_s_by_route.get(outcome.route)
+        if typical_call_s is None or self._learner is None:
+            return
+        estimate.record_no_response(now, outcome.duration_s, typical_call_s)
+        load_factor = max(outcome.load_factor, estimate.load_factor(now))
+        unloaded_s = self._processing_s(outcome) / (estimate.slowdown(now) * load_factor)
+        ratio = unloaded_s / self._unloaded_call_s_by_route[outcome.route]
+        if ratio > estimate.duration_ratio:
+            # The call would have taken at least this long. Its occupancy is not known; that of an
+            # earlier call has the same distribution.
+            occupancy = (estimate.last_reported_calls + 1.0) / max(1, outcome.entry.slots)
+            self._learner.record_call(now, outcome.entry, ratio, 1.0 / load_factor, occupancy)
+
+    def _processing_s(self, outcome: CallOutcome) -> float:
+        return max(0.001, outcome.duration_s - self._round_trip_s(outcome.entry.domain))
+
     def _find_owner(self, now: float, query: TargetQuery) -> LoadEstimate | NoTarget:
         assert query.owner_id is not None
         entry = self._view.usable(query.owner_id) or self._leaving_owner(now, query.owner_id)
@@ -205,6 +328,8 @@
         estimate = self._estimate_by_incarnation[entry.incarnation]
         if now < estimate.unreachable_until:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
+        if not self._responsive(now, [estimate], query, UNRESPONSIVE_OWNER_FACTOR):
+            return NoTarget(NoTargetReason.TOO_LATE, MAX_RETRY_AFTER_S)
         if not self._may_send_to_cold(now, estimate, query.service):
             return NoTarget(NoTargetReason.ALL_COLD, RECOVERY_RETRY_AFTER_S)
         return self._admit_if_in_time(now, estimate, query)
@@ -236,6 +361,9 @@
         reachable = [estimate for estimate in estimates if now >= estimate.unreachable_until]
         if not reachable:
             return NoTarget(NoTargetReason.ALL_UNREACHABLE, RECOVERY_RETRY_AFTER_S)
+        reachable = self._responsive(now, reachable, query, UNRESPONSIVE_FACTOR)
+        if not reachable:
+            return NoTarget(NoTargetReason.TOO_LATE, MAX_RETRY_AFTER_S)
         idle = self._find_idle_in_sample(now, reachable, query)
         if idle is not None:
             return idle
@@ -277,7 +405,10 @@
     ) -> list[tuple[float, LoadEstimate]]:
         typical_call_s = self.typical_call_s(query.route, query.objective_s)
         context = RankingContext(
-            now, typical_call_s, _value_for_rank(RESERVED_SLOT_FRACTION_BY_RANK, query.rank)
+            now,
+            typical_call_s,
+            _value_for_rank(RESERVED_SLOT_FRACTION_BY_RANK, query.rank),
+            self._mean_calls_by_service.get(query.service.name, 0.0),
         )
         ranked = [
             (
@@ -317,6 +448,19 @@
             now, entry.target_id, entry.domain, service.cold_requests_per_s, self._instances
         )
 
+    def _responsive(
+        self, now: float, estimates: list[LoadEstimate], query: TargetQuery, factor: float
+    ) -> list[LoadEstimate]:
+        """Return the targets that do not count as full for lack of a response."""
+        if self._learner is None:
+            return estimates
+        typical_call_s = self.typical_call_s(query.route, query.objective_s)
+        return [
+            estimate
+            for estimate in estimates
+            if not estimate.is_unresponsive(now, typical_call_s, factor)
+        ]
+
     def _is_allowed(self, entry: TargetEntry, query: TargetQuery) -> bool:
         return not query.regions or self._region_by_domain.get(entry.domain) in query.regions
 
@@ -335,5 +479,12 @@
         return 0.0 if self.is_in_own_region(domain) else REGION_ROUND_TRIP_S
 
 
+def _update_mean(mean_by_name: dict[str, float], name: str, value: float, weight: float) -> float:
+    """Update a moving average, and return its former value, or ``value`` if there was none."""
+    former = mean_by_name.get(name, value)
+    mean_by_name[name] = former + weight * (value - former)
+    return former
+
+
 def _value_for_rank(value_by_rank: tuple[float, ...], rank: int) -> float:
     return value_by_rank[min(rank, len(value_by_rank) - 1)]
