--- a/packages/damasktide/src/damasktide/telemetry/reference.py
+++ b/packages/damasktide/src/damasktide/telemetry/reference.py
@@ -6,6 +6,7 @@
 import click
 from prometheus_client import CollectorRegistry
 
+from damasktide.capacity.metrics import CapacityCollector
 from damasktide.gateway.telemetry import GatewayTelemetry
 from damasktide.quotas.metrics import QuotaMetrics
 from damasktide.telemetry.metrics import FAMILIES, PREFIX
@@ -48,6 +49,7 @@
     registry = CollectorRegistry()
     GatewayTelemetry(registry)
     QuotaMetrics(registry)
+    registry.register(CapacityCollector(tuple))
     for metric_family in registry.collect():
         name, kind = metric_family.name, metric_family.type
         yield f"| `{name}` | {kind} | {metric_family.documentation} |"
