--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -237,8 +237,7 @@
                 return Refusal(403, Reason.NO_REGION, "no region may serve this request")
         wait_s = self._take_token(organisation)
         if wait_s:
-            detail = f"the usage cap of {organisation.name} is reached" if organisation else ""
-            return Refusal(429, Reason.OVER_CAP, detail, wait_s)
+            return _over_cap(organisation, wait_s)
         service_name = self._splitter.choose(route)
         service = routing.configuration.service_by_name.get(service_name, Service(service_name))
         self._allowance(service_name).count_request(monotonic())
@@ -429,6 +428,11 @@
         return allowance
 
 
+def _over_cap(organisation: Organisation | None, wait_s: float) -> Refusal:
+    name = organisation.name if organisation is not None else "an unknown organisation"
+    return Refusal(429, Reason.OVER_CAP, f"the usage cap of {name} is reached", wait_s)
+
+
 def _may_start(caller: CallerExchange, request: GatewayRequest) -> bool:
     """Return whether a request may start now.
 
