Remove a branch that cannot run; name admissions that are not drawn for

Cause: the refusal above a cap handled a missing organisation, which never has one, and requests on credit are counted under a name that says the instance is offline.

Change: the check is made only with an organisation; the counter is named undrawn_admissions. No behaviour changes.

--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -235,9 +235,9 @@
             regions = regions & organisation.regions if regions else organisation.regions
             if not regions:
                 return Refusal(403, Reason.NO_REGION, "no region may serve this request")
-        wait_s = self._take_token(organisation)
-        if wait_s:
-            return _over_cap(organisation, wait_s)
+        if organisation is not None and (wait_s := self._take_token(organisation)):
+            detail = f"the usage cap of {organisation.name} is reached"
+            return Refusal(429, Reason.OVER_CAP, detail, wait_s)
         service_name = self._splitter.choose(route)
         service = routing.configuration.service_by_name.get(service_name, Service(service_name))
         self._allowance(service_name).count_request(monotonic())
@@ -428,11 +428,6 @@
         return allowance
 
 
-def _over_cap(organisation: Organisation | None, wait_s: float) -> Refusal:
-    name = organisation.name if organisation is not None else "an unknown organisation"
-    return Refusal(429, Reason.OVER_CAP, f"the usage cap of {name} is reached", wait_s)
-
-
 def _may_start(caller: CallerExchange, request: GatewayRequest) -> bool:
     """Return whether a request may start now.
 
--- a/packages/damasktide/src/damasktide/quotas/holder.py
+++ b/packages/damasktide/src/damasktide/quotas/holder.py
@@ -62,7 +62,7 @@
         self.refill_at = 0.0
         self.next_free_at = 0.0
         self.standing_bucket: TokenBucket | None = None
-        self.offline_admissions: deque[float] = deque()
+        self.undrawn_admissions: deque[float] = deque()
         self.offline_quota: int | None = None
         self._requests = 0.0
         self._counted_at = 0.0
@@ -189,7 +189,7 @@
         return self._admit_undrawn(now, usage, CREDIT_REQUESTS)
 
     def _admit_undrawn(self, now: float, usage: Usage, quota: int) -> bool:
-        admissions = usage.offline_admissions
+        admissions = usage.undrawn_admissions
         while admissions and now - admissions[0] >= self._limits.window_s * WINDOW_MARGIN:
             admissions.popleft()
         if len(admissions) >= quota:
@@ -324,7 +324,7 @@
 
     def _unreported_offline(self, now: float, usage: Usage) -> int:
         since = max(usage.offline_reported_at, now - self._limits.window_s)
-        return sum(at > since for at in usage.offline_admissions)
+        return sum(at > since for at in usage.undrawn_admissions)
 
     def _apply_grant(
         self, now: float, usage: Usage, item: DrawItem, grant: GrantItem | None
