Show requests to a target that leaves after its clock was set back

Cause: a target that starts again under its id with a smaller `born`, because its machine's clock was stepped back, has its check-ins ignored as delayed ones of its first life, `draining` included.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -108,6 +108,10 @@
         """Write a row, as the operator or a target does."""
         self._apply([((table, "", key), json.dumps(document).encode())])
 
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row, as a target that has left does."""
+        self._apply([((table, "", key), None)])
+
     def document(self, table: str, key: str) -> dict | None:
         value, _ = self._row.get((table, "", key), (None, 0))
         return None if value is None else json.loads(value)
@@ -238,7 +242,13 @@
         self._holds: list[Hold] = []
         self._fences: list[tuple[int, int, int]] = []
         self._born = int(1000 * time.time())
+        self._state = "ready"
         self._sequence = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._checks: asyncio.Future | None = None
+        # Number of lives that have ended.
+        self._ended_lives = 0
         self.factor = 1.0
         self.port = 0
         # Ids of the requests that ran to a good end, and of those whose answers were cut off.
@@ -248,28 +258,58 @@
         self.arrived_at: dict[str, float] = {}
         self.began_at: dict[str, float] = {}
 
-    async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, clock_ahead_s: float = 0.0) -> None:
+        """Start a life of the target, at the address of the one before if there was one.
+
+        ``clock_ahead_s`` is by how much the time of day of its machine is ahead.
+        """
+        server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         if self._send_buffer is not None:
             for sock in server.sockets:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self._send_buffer)
+        self._server = server
         self.port = server.sockets[0].getsockname()[1]
-        asyncio.ensure_future(self._check_in())
+        self._born = int(1000 * (time.time() + clock_ahead_s))
+        self._state, self._sequence = "ready", 0
+        self._checks = asyncio.ensure_future(self._check_in())
+
+    def stop(self) -> None:
+        """End the life: its connections are reset, and it holds and knows nothing any more."""
+        self._ended_lives += 1
+        self._checks.cancel()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        self._holds.clear()
+        self._fences.clear()
+
+    def leave(self) -> None:
+        """Report `draining`; the store accepts it at once."""
+        self._state = "draining"
+        self._write_entry()
+
+    def drop_entry(self) -> None:
+        """Remove the entry, as when the target has left."""
+        self._store.drop("servers", self.name)
 
     async def _check_in(self) -> None:
         while True:
-            self._sequence += 1
-            self._store.put("servers", self.name, {
-                "address": f"127.0.0.1:{self.port}",
-                "born": self._born,
-                "info": {"service": self.service, "version": "v1", "zone": self.zone,
-                         "concurrency": self._slot_count},
-                "status": {"state": "ready", "seq": self._sequence, "warmup_left_ms": 0},
-            })
+            self._write_entry()
             await asyncio.sleep(CHECK_IN_S)
 
+    def _write_entry(self) -> None:
+        self._sequence += 1
+        self._store.put("servers", self.name, {
+            "address": f"127.0.0.1:{self.port}",
+            "born": self._born,
+            "info": {"service": self.service, "version": "v1", "zone": self.zone,
+                     "concurrency": self._slot_count},
+            "status": {"state": self._state, "seq": self._sequence, "warmup_left_ms": 0},
+        })
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.transport.set_write_buffer_limits(high=0)
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
@@ -287,6 +327,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _drained(self, writer: asyncio.StreamWriter) -> bool:
@@ -324,6 +365,7 @@
             return encode(421, fields | {"X-Not-Executed": "1"})
         if self._waiting >= 4 * self._slot_count:
             return encode(503, fields | {"X-Not-Executed": "1"})
+        life = self._ended_lives
         self.arrived_at.setdefault(request_id, time.monotonic())
         self._waiting += 1
         await self._slots.acquire()
@@ -341,6 +383,9 @@
         finally:
             self._running -= 1
             self._slots.release()
+        if life != self._ended_lives:
+            self._record.write(f"{self.name} ended while it worked on {request_id}")
+            return None
         self.done.add(request_id)
         mark = f"{request_id}.".encode()
         content = (mark * (size // len(mark) + 1))[:size]
