Wait for slow readers before a connection is closed

Cause: a connection was closed as soon as its last response lay in the send buffer of the kernel, or 1 s after that. The next request of the caller then met a closed socket, and the kernel discarded what it had not sent yet. The lifecycle counted a request as finished at the same moment, so the end of the process closed connections in the same way.

At the abort only connections that wait for a request or a body are closed for reading.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -411,4 +411,4 @@
         if snapshot.phase is Phase.ABORTING:
             logger.bind(in_flight=self._handler.in_flight).warning("requests aborted")
             self._handler.abort_unanswered()
-            self._listener.end_input()
+            self._listener.close_receiving()
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -1,6 +1,7 @@
 """Request handling of the gateway, from a caller's connection to the response."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from functools import partial
 from time import monotonic
@@ -156,8 +157,6 @@
         try:
             while self._serve_next(caller, pipeline):
                 pass
-            pipeline.close()
-            caller.finish_sending()
         finally:
             pipeline.close()
 
@@ -167,24 +166,30 @@
             head = caller.read_request()
         except BadRequestError as error:
             self._reject(caller, error)
-            return False
+            head = None
         if head is None:
+            caller.finish_sending()
+            return False
+        # The process must not end before the caller has got the responses.
+        with self._counted_in_flight():
+            if self._serve_request(caller, head) and pipeline.finish_first():
+                return True
+            pipeline.close()
+            caller.finish_sending()
             return False
-        return self._serve_counted(caller, head) and pipeline.finish_first()
 
     def _serve_pipelined(self, request: PipelinedRequest, head: RequestHead) -> bool:
-        return self._serve_counted(request, head, request.flush)
+        with self._counted_in_flight():
+            keeps_alive = self._serve_request(request, head)
+            request.flush()
+            return keeps_alive
 
-    def _serve_counted(
-        self, caller: CallerExchange, head: RequestHead, flush: Callable[[], None] | None = None
-    ) -> bool:
+    @contextmanager
+    def _counted_in_flight(self) -> Iterator[None]:
         self.in_flight += 1
         self._context.on_started()
         try:
-            keeps_alive = self._serve_request(caller, head)
-            if flush is not None:
-                flush()
-            return keeps_alive
+            yield
         finally:
             self.in_flight -= 1
             self._context.on_finished()
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -1,9 +1,12 @@
 """Server side of a caller's connection, which may carry pipelined requests."""
 
+import struct
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum, auto
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from time import monotonic
 from typing import Protocol
 
@@ -23,9 +26,11 @@
 # of the connection is then checked at this interval.
 RESET_CHECK_INTERVAL_S = 0.1
 # Limits on the input that is discarded before a connection is closed. Closing it with unread input
-# would reset it, which discards responses that the kernel has not sent yet.
+# would reset it, which discards responses that the kernel has not sent yet. While there are such
+# responses, input is discarded for as long as the caller reads them.
 LINGER_S = 1.0
 MAX_LINGER_BYTES = 1024 * 1024
+LINGER_CHECK_INTERVAL_S = 0.1
 _HEAD_END = b"\r\n\r\n"
 # Values of `tcpi_state`, the first byte of TCP_INFO, after a reset and after the end of the input.
 _TCP_STATE_CLOSE = 7
@@ -375,21 +380,24 @@
             self.read_ahead.disconnected()
 
     def finish_sending(self) -> None:
-        """Announce the end of the responses and discard input for a short time.
+        """Announce the end of the responses and discard input until the caller has got them.
 
-        Does nothing if no input is unread.
+        Does nothing if no input is unread and the caller has acknowledged all responses.
         """
-        if self.is_disconnected or not (self._is_pipelining or self._has_unread_input()):
+        has_unread_input = self._is_pipelining or self._has_unread_input()
+        if self.is_disconnected or not (has_unread_input or self._unsent_bytes()):
             return
         try:
             self._socket.shutdown(socket.SHUT_WR)
         except OSError:
             return
-        until = monotonic() + LINGER_S
+        until = monotonic() + (LINGER_S if has_unread_input else 0.0)
+        progress = self._sending_progress()
         discarded_bytes = 0
-        while discarded_bytes < MAX_LINGER_BYTES and monotonic() < until:
+        while discarded_bytes < MAX_LINGER_BYTES and (next(progress) or monotonic() < until):
             self._buffer = b""
-            if not self._receive(until - monotonic()):
+            self._receive(LINGER_CHECK_INTERVAL_S)
+            if self.is_disconnected:
                 return
             discarded_bytes += len(self._buffer)
 
@@ -405,15 +413,15 @@
         A request that has already arrived is still read.
         """
         if self.is_idle:
-            self.end_input()
+            self._end_input()
 
-    def end_input(self) -> None:
-        """Close the connection for reading, which ends the wait for a request or its body.
+    def close_if_receiving(self) -> None:
+        """Close the connection for reading if it waits for a request or the rest of a body."""
+        if self.is_idle or not self.is_body_read:
+            self._end_input()
 
-        Responses are still sent, but a disconnect of the caller is no longer noticed.
-        """
+    def _end_input(self) -> None:
         self._is_closed_for_reading = True
-        self._read_watcher.stop()
         try:
             self._socket.shutdown(socket.SHUT_RD)
         except OSError:
@@ -457,6 +465,23 @@
             if monotonic() >= self._input_ended_at + HALF_CLOSE_GRACE_S:
                 self.disconnect()
 
+    def _sending_progress(self) -> Iterator[bool]:
+        """Yield whether the kernel still sends data, and has done so within the send timeout."""
+        least_bytes, least_since = self._unsent_bytes(), monotonic()
+        while True:
+            unsent_bytes = self._unsent_bytes()
+            if unsent_bytes < least_bytes:
+                least_bytes, least_since = unsent_bytes, monotonic()
+            yield unsent_bytes > 0 and monotonic() < least_since + SEND_TIMEOUT_S
+
+    def _unsent_bytes(self) -> int:
+        """Return the number of bytes that the caller has not acknowledged yet."""
+        try:
+            size: int = struct.unpack("i", ioctl(self._socket.fileno(), TIOCOUTQ, b"\0" * 4))[0]
+        except OSError:
+            return 0
+        return size
+
     def _has_unread_input(self) -> bool:
         if self._buffer:
             return True
--- a/packages/damasktide/src/damasktide/http1/listener.py
+++ b/packages/damasktide/src/damasktide/http1/listener.py
@@ -74,10 +74,10 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def end_input(self) -> None:
-        """Close all connections for reading; responses are still sent."""
+    def close_receiving(self) -> None:
+        """Close connections that wait for a request or the rest of one; responses are sent."""
         for connection in list(self._connections):
-            connection.end_input()
+            connection.close_if_receiving()
 
     def _accept(self, sock: socket.socket, address: tuple[str, int]) -> None:
         connection = CallerConnection(sock, self._limits)
--- a/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
@@ -1,11 +1,17 @@
 """Tests requests over loopback: malformed heads, limits and callers that disconnect."""
 
 import unittest
+from time import monotonic
 
-from gevent import sleep, socket
+from gevent import sleep, socket, spawn
 from gevent.event import Event
 
-from damasktide.http1.caller_connection import CallerConnection, CallerLimits
+from damasktide.http1.caller_connection import (
+    LINGER_S,
+    SEND_TIMEOUT_S,
+    CallerConnection,
+    CallerLimits,
+)
 from damasktide.http1.errors import BadRequestError
 from damasktide.http1.messages import RequestHead
 
@@ -57,7 +63,7 @@
         disconnects: list[bool] = []
         self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         self.connection.watch_for_disconnect(lambda: disconnects.append(True))
-        self.connection.end_input()
+        self.connection.close_if_receiving()
         sleep(0.05)
         self.assertEqual((disconnects, self.connection.is_disconnected), ([], False))
         self.connection.send_plain(200, b"OK", "served")
@@ -69,7 +75,7 @@
         self.connection.read_request()
         body = self.connection.read_body()
         self.assertEqual(next(body), b"first")
-        self.connection.end_input()
+        self.connection.close_if_receiving()
         with self.assertRaises(BadRequestError) as raised:
             next(body)
         self.assertEqual(raised.exception.status, 408)
@@ -81,6 +87,53 @@
         self.assertIsNone(self.connection.read_request())
 
 
+class TestSlowReader(CallerConnectionTest):
+    """A caller that reads for longer than the gateway needs to write its last response."""
+
+    RESPONSE = b"x" * 400_000
+
+    def test_request_that_crosses_the_close_does_not_reset_the_response(self) -> None:
+        """Guards against responses that a planned stop loses for pipelining callers (review/8)."""
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        self.connection._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.connection.send(self.RESPONSE)
+        ending = spawn(self.end)
+        sleep(LINGER_S + 0.2)
+        self.caller.sendall(b"GET /later HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(self.receive(), len(self.RESPONSE))
+        self.caller.close()
+        ending.join(1.0)
+        self.assertTrue(ending.ready())
+
+    def test_caller_that_reads_nothing_is_not_waited_for(self) -> None:
+        """Guards against connections that stay open for callers that have stopped reading."""
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        self.connection._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.connection.send(self.RESPONSE)
+        self.caller.sendall(b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+        sleep(0.05)
+        started_at = monotonic()
+        self.end()
+        self.assertLess(monotonic() - started_at, SEND_TIMEOUT_S + 0.5)
+
+    def end(self) -> None:
+        self.connection.finish_sending()
+        self.connection.close()
+
+    def receive(self) -> int:
+        """Read until the end of the connection and return the number of bytes."""
+        self.caller.settimeout(2.0)
+        size = 0
+        try:
+            while data := self.caller.recv(65_536):
+                size += len(data)
+        except OSError:
+            pass
+        return size
+
+
 class TestRequests(CallerConnectionTest):
     def test_target_is_not_decoded(self) -> None:
         head, _ = self.request(b"GET /a%2Fb//c?d=%20&e HTTP/1.1\r\nHost: h\r\n\r\n")
