Suspect cold targets when an evacuation ends beside an outage

Cause: a failure domain was usable at once when its evacuation ended, by entries from before the outage. That its targets had become cold followed with their next check-in, up to 2 s after the return of the store.

Change: if an evacuation ends while the store is away, or within the time in which live targets check in again, the targets of that domain count as cold for that time. The condition is the one by which missing entries are kept after an outage.

Tests: test_targets_may_be_cold_if_an_evacuation_ends_beside_an_outage and test_load_is_limited_until_the_targets_have_checked_in; the view had no such field before, so they could not pass.

--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -129,6 +129,12 @@
             )
             if has_new_cold_start and entry.cold_start_remaining_s > 0.0:
                 estimate.cold_until = now + entry.cold_start_remaining_s
+            suspected_cold_until = view.suspected_cold_until_by_domain.get(
+                entry.domain, float("-inf")
+            )
+            estimate.suspected_cold_until = max(
+                estimate.suspected_cold_until, suspected_cold_until
+            )
             estimate.entry = entry
             self._estimate_by_incarnation[entry.incarnation] = estimate
         self._cold_limiter.retain_only(set(view.entry_by_id))
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
@@ -1,6 +1,7 @@
 """Cold targets: the request rate over all instances stays within the tolerated limit."""
 
 import unittest
+from dataclasses import replace
 
 from damasktide.dispatch.cold_start import ColdStartLimiter, RegisteredInstances
 from damasktide.dispatch.messages import CallOutcome, NoTarget, NoTargetReason, TargetSelection
@@ -42,6 +43,24 @@
     return max(sum(start <= at < start + 1.0 for at in sent_at) for start in sent_at)
 
 
+class TestSuspectedColdDomain(unittest.TestCase):
+    """A failure domain returns to service while its targets may be cold without saying so."""
+
+    def test_load_is_limited_until_the_targets_have_checked_in(self) -> None:
+        """Guards against targets that crash under full load after an evacuation (review/7)."""
+        dispatcher = make_dispatcher(make_target("t1"))
+        view = replace(make_view(make_target("t1")), suspected_cold_until_by_domain={"a1": 3.0})
+        dispatcher.set_targets(1.0, view)
+        sent = 0
+        while isinstance(dispatcher.choose(2.0, make_query()), TargetSelection):
+            sent += 1
+            self.assertLessEqual(sent, LIMIT_PER_S)
+        refused = dispatcher.choose(2.0, make_query())
+        assert isinstance(refused, NoTarget)
+        self.assertIs(refused.reason, NoTargetReason.ALL_COLD)
+        self.assertIsInstance(dispatcher.choose(3.0, make_query()), TargetSelection)
+
+
 class TestColdStartLimiter(unittest.TestCase):
     def test_total_rate_of_a_domain_is_within_the_limit(self) -> None:
         peak = peak_per_second(LIMIT_PER_S, INSTANCES, INSTANCES.in_domain_or_all("a1"))
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -33,6 +33,7 @@
         self._entry_by_id: dict[str, TargetEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
+        self._suspected_cold_until_by_domain: dict[str, float] = {}
         # Time until which a missing entry is kept; None until the outage in which it disappeared
         # has ended.
         self._kept_until_by_id: dict[str, float | None] = {}
@@ -182,10 +183,17 @@
         self._rebuild()
         return True
 
-    def set_evacuated(self, domains: frozenset[str]) -> bool:
-        """Replace the failure domains whose targets get no work; return whether they changed."""
+    def set_evacuated(self, now: float, domains: frozenset[str]) -> bool:
+        """Replace the failure domains whose targets get no work; return whether they changed.
+
+        The targets of a domain may have become cold shortly before its evacuation ends. After an
+        outage of the store their entries may not say so yet.
+        """
         if domains == self._evacuated_domains:
             return False
+        if self._is_in_grace_period(now):
+            for domain in self._evacuated_domains - domains:
+                self._suspected_cold_until_by_domain[domain] = now + EXPIRED_ENTRY_GRACE_S
         self._evacuated_domains = domains
         self._rebuild()
         return True
@@ -221,7 +229,13 @@
             for (target_id, _), since in self._leaving_since_by_incarnation.items()
             if target_id in entry_by_id and entry_by_id[target_id].state is not TargetState.READY
         }
-        view = TargetView(entry_by_id, {}, self._evacuated_domains, leaving_since_by_id)
+        view = TargetView(
+            entry_by_id,
+            {},
+            self._evacuated_domains,
+            leaving_since_by_id,
+            dict(self._suspected_cold_until_by_domain),
+        )
         usable_by_service: dict[str, list[TargetEntry]] = defaultdict(list)
         for target_id in sorted(self._entry_by_id):
             entry = view.usable(target_id)
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -159,7 +159,7 @@
 
     @handles(EvacuatedDomains)
     def _evacuated(self, message: EvacuatedDomains) -> None:
-        if self._directory.set_evacuated(message.domains):
+        if self._directory.set_evacuated(monotonic(), message.domains):
             logger.bind(domains=sorted(message.domains)).info("evacuated failure domains changed")
         self._publish()
 
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -150,7 +150,35 @@
         self.assertEqual(usable_ids(self.directory), ["t1", "t2"])
 
     def test_evacuated_domain_gets_no_work_until_the_evacuation_ends(self) -> None:
-        self.directory.set_evacuated(frozenset({"a1"}))
+        self.directory.set_evacuated(1.0, frozenset({"a1"}))
         self.assertEqual(usable_ids(self.directory), [])
-        self.directory.set_evacuated(frozenset())
+        self.directory.set_evacuated(2.0, frozenset())
         self.assertEqual(usable_ids(self.directory), ["t1"])
+        self.assertEqual(self.directory.view.suspected_cold_until_by_domain, {})
+
+    def test_targets_may_be_cold_if_an_evacuation_ends_beside_an_outage(self) -> None:
+        """Guards against full load on targets whose entries are from before the outage (review/7).
+
+        Their cold start is listed at their next check-in.
+        """
+        for ends_at in (9.9, 10.1, 10.0 + EXPIRED_ENTRY_GRACE_S - 0.1):
+            directory = TargetDirectory()
+            directory.record_listed(0.0, 1, entry())
+            directory.set_evacuated(1.0, frozenset({"a1", "a2"}))
+            directory.record_store_unavailable()
+            if ends_at > 10.0:
+                directory.record_store_available(10.0, unconfirmed_s=4.5)
+            directory.set_evacuated(ends_at, frozenset({"a2"}))
+            self.assertEqual(usable_ids(directory), ["t1"])
+            self.assertEqual(
+                directory.view.suspected_cold_until_by_domain,
+                {"a1": ends_at + EXPIRED_ENTRY_GRACE_S},
+            )
+
+    def test_targets_are_not_suspected_long_after_an_outage(self) -> None:
+        """Guards against a failure domain that returns slowly after each evacuation."""
+        self.directory.set_evacuated(1.0, frozenset({"a1"}))
+        self.directory.record_store_unavailable()
+        self.directory.record_store_available(10.0, unconfirmed_s=4.5)
+        self.directory.set_evacuated(10.0 + EXPIRED_ENTRY_GRACE_S, frozenset())
+        self.assertEqual(self.directory.view.suspected_cold_until_by_domain, {})
