Follow a target that started again after its clock was set back

Cause: the target had started again under its id while its clock was behind that of its first start. Each of its check-ins was taken for a delayed one of the first incarnation and ignored, for as long as the target lived.

Ruled out: following the newest row whatever its start.

Change: an incarnation with an earlier start replaces the known one if that has not checked in for 2.2 s since, counted while the store is available. A live target checks in about once a second.

Tests: test_target_that_started_again_with_an_earlier_time_is_followed; the directory had no such transition before.

--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from damasktide.rows.store import era_of, number_of
 from damasktide.targets.target import TargetEntry, TargetState, TargetView
@@ -10,11 +10,23 @@
 # Time for which entries that expired during a store outage are kept, counted from the first
 # response after the outage. Live targets are listed again within 2 s of the store's return.
 EXPIRED_ENTRY_GRACE_S = 2.2
+# Time after which an incarnation that started earlier than the known one replaces it, if that one
+# has not checked in meanwhile. A live target checks in about once a second.
+EARLIER_START_CONFIRMATION_S = 2.2
 # Number of incarnations remembered as leaving. They are kept after their entries have gone,
 # because an entry may lapse and return.
 MAX_LEAVING = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class _EarlierStart:
+    """Latest entry of an incarnation whose start is earlier than that of the known one."""
+
+    entry: TargetEntry
+    version: int
+    listed_since: float
+
+
 class TargetDirectory:
     """State machine of the list of targets.
 
@@ -37,6 +49,7 @@
         # Time until which a missing entry is kept; None until the outage in which it disappeared
         # has ended.
         self._kept_until_by_id: dict[str, float | None] = {}
+        self._earlier_start_by_id: dict[str, _EarlierStart] = {}
         self._is_store_unavailable = False
         self._store_available_at = float("-inf")
         self._leaving_since_by_incarnation: dict[tuple[str, int], float] = {}
@@ -103,8 +116,9 @@
             return False
         known = self._entry_by_id.get(entry.target_id)
         if known is not None and entry.started_at_ms < known.started_at_ms:
-            # A delayed check-in of an earlier incarnation.
+            self._record_earlier_start(now, version, entry)
             return False
+        self._earlier_start_by_id.pop(entry.target_id, None)
         if self._may_be_restored(version, entry):
             # The next check-in, within a second, has a higher number than this row.
             self._version_by_id[entry.target_id] = version
@@ -125,6 +139,7 @@
         if version <= self._version_by_id.get(target_id, 0):
             return False
         self._version_by_id[target_id] = version
+        self._earlier_start_by_id.pop(target_id, None)
         if target_id not in self._entry_by_id:
             return False
         if self._is_in_grace_period(now):
@@ -170,6 +185,30 @@
             self._remove(target_id)
         return expired
 
+    def accept_earlier_starts(self, now: float) -> tuple[TargetEntry, ...]:
+        """Replace incarnations that a later one with an earlier start has followed.
+
+        The time of day of a target's machine may have been set back before it started again.
+        Returns the entries that are now in force.
+        """
+        if self._is_store_unavailable:
+            return ()
+        accepted = tuple(
+            earlier
+            for earlier in self._earlier_start_by_id.values()
+            if now
+            >= max(earlier.listed_since, self._store_available_at) + EARLIER_START_CONFIRMATION_S
+        )
+        for earlier in accepted:
+            target_id = earlier.entry.target_id
+            del self._earlier_start_by_id[target_id]
+            self._kept_until_by_id.pop(target_id, None)
+            self._version_by_id[target_id] = earlier.version
+            self._entry_by_id[target_id] = earlier.entry
+        if accepted:
+            self._rebuild()
+        return tuple(earlier.entry for earlier in accepted)
+
     def record_leaving(self, now: float, incarnation: tuple[str, int]) -> bool:
         """Record that a target announced its end in a response; return whether that is new.
 
@@ -198,6 +237,15 @@
         self._rebuild()
         return True
 
+    def _record_earlier_start(self, now: float, version: int, entry: TargetEntry) -> None:
+        """Record an entry that may be a delayed check-in of an incarnation that has ended."""
+        earlier = self._earlier_start_by_id.get(entry.target_id)
+        if earlier is not None and version <= earlier.version:
+            return
+        is_same = earlier is not None and earlier.entry.incarnation == entry.incarnation
+        listed_since = earlier.listed_since if earlier is not None and is_same else now
+        self._earlier_start_by_id[entry.target_id] = _EarlierStart(entry, version, listed_since)
+
     def _may_be_restored(self, version: int, entry: TargetEntry) -> bool:
         """Return whether a row may come from a copy that is older than what is known.
 
@@ -219,6 +267,7 @@
 
     def _remove(self, target_id: str) -> None:
         self._kept_until_by_id.pop(target_id, None)
+        self._earlier_start_by_id.pop(target_id, None)
         del self._entry_by_id[target_id]
         self._rebuild()
 
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -123,6 +123,14 @@
             logger.bind(target=target_id).info("target removed after the grace period")
         self._publish()
 
+    @every(EXPIRY_INTERVAL_S)
+    def _accept_earlier_starts(self) -> None:
+        for entry in self._directory.accept_earlier_starts(monotonic()):
+            logger.bind(
+                target=entry.target_id, life=entry.started_at_ms, state=entry.state.value
+            ).info("target started again with an earlier time")
+        self._publish()
+
     @handles(TableRead, OnError.DROP_MESSAGE)
     def _table_read(self, message: TableRead) -> None:
         state = message.state
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -3,6 +3,7 @@
 import unittest
 
 from damasktide.targets.directory import (
+    EARLIER_START_CONFIRMATION_S,
     EXPIRED_ENTRY_GRACE_S,
     MAX_LEAVING,
     TargetDirectory,
@@ -72,6 +73,41 @@
         self.directory.record_listed(1.5, 3, entry(incarnation=1))
         self.assertEqual(self.directory.view.entry_by_id["t1"].started_at_ms, 9)
 
+    def test_target_that_started_again_with_an_earlier_time_is_followed(self) -> None:
+        """Guards against requests to a target whose drain is ignored (review/9).
+
+        The time of day of its machine was set back between its two starts.
+        """
+        self.directory.record_listed(1.0, 2, entry(incarnation=9))
+        self.directory.record_listed(2.0, 3, entry(incarnation=5))
+        self.directory.record_listed(2.9, 4, entry(incarnation=5))
+        confirmed_at = 2.0 + EARLIER_START_CONFIRMATION_S
+        self.assertEqual(self.directory.accept_earlier_starts(confirmed_at - 0.1), ())
+        self.assertEqual(
+            self.directory.accept_earlier_starts(confirmed_at), (entry(incarnation=5),)
+        )
+        self.directory.record_listed(5.0, 5, entry(incarnation=5, state=TargetState.DRAINING))
+        self.assertEqual(usable_ids(self.directory), [])
+
+    def test_late_check_in_is_not_followed_if_the_target_checks_in_after_it(self) -> None:
+        """Guards against an ended incarnation that replaces the running one."""
+        self.directory.record_listed(1.0, 2, entry(incarnation=9))
+        self.directory.record_listed(2.0, 3, entry(incarnation=1))
+        self.directory.record_listed(2.8, 4, entry(incarnation=9))
+        self.assertEqual(self.directory.accept_earlier_starts(9.0), ())
+        self.assertEqual(self.directory.view.entry_by_id["t1"].started_at_ms, 9)
+
+    def test_late_check_in_is_not_followed_while_targets_cannot_check_in(self) -> None:
+        """Guards against an ended incarnation that replaces a running one in an outage."""
+        self.directory.record_listed(1.0, 2, entry(incarnation=9))
+        self.directory.record_listed(2.0, 3, entry(incarnation=1))
+        self.directory.record_store_unavailable()
+        self.assertEqual(self.directory.accept_earlier_starts(9.0), ())
+        self.directory.record_store_available(10.0)
+        self.assertEqual(self.directory.accept_earlier_starts(11.0), ())
+        self.directory.record_listed(11.5, 4, entry(incarnation=9))
+        self.assertEqual(self.directory.accept_earlier_starts(20.0), ())
+
     def test_unlisted_target_is_removed_at_once(self) -> None:
         self.assertTrue(self.directory.record_unlisted(1.0, 2, "t1"))
         self.assertEqual(usable_ids(self.directory), [])
