Keep idle connections until their responses have been received

A planned stop closed connections that waited for a request, also when the caller had not read the last response yet. The caller's next request then reset the connection, and the rest of the response was lost.

Cause: a connection counted as idle once its response lay in the send buffer of the kernel.

Ruled out: lingering after the close, as behind a response with Connection: close.

Change: such a connection stays open until the caller has acknowledged everything, or sends its next request, which is served or refused. The process waits for it within its grace period.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -76,6 +76,7 @@
 # for a process that is scheduled late.
 ABORT_S = 0.3
 HOUSEKEEPING_INTERVAL_S = 0.5
+CLOSE_IDLE_INTERVAL_S = 0.1
 READY_POLL_INTERVAL_S = 0.02
 # The speed that this instance has learned of a target counts as that of at most this many calls,
 # because the mean that it keeps forgets older ones.
@@ -326,8 +327,6 @@
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
             self._pool.close_expired()
             self._dispatcher.set_instances(self._assignment.instances.value)
-            if self._lifecycle_snapshot.value.phase is Phase.REFUSING:
-                self._listener.close_idle()
 
     def _targets_changed(self, view: TargetView) -> None:
         self._incarnation_by_hash = {
@@ -401,13 +400,23 @@
     def _evacuation_changed(self, domains: frozenset[str]) -> None:
         self._targets.tell(EvacuatedDomains(domains))
 
+    def _close_idle_connections(self) -> None:
+        """Close idle connections until the stop; it waits for responses that are being read."""
+        self._lifecycle.tell(RequestStarted())
+        while not self._listener.close_idle():
+            gevent.sleep(CLOSE_IDLE_INTERVAL_S)
+        self._lifecycle.tell(RequestFinished())
+        while True:
+            gevent.sleep(HOUSEKEEPING_INTERVAL_S)
+            self._listener.close_idle()
+
     def _phase_changed(self, snapshot: LifecycleSnapshot) -> None:
         logger.bind(phase=snapshot.phase.value).info("phase changed")
         if snapshot.phase is Phase.LEAVING:
             self._assignment.tell(Resign())
         if snapshot.phase is Phase.REFUSING:
             self._listener.stop_accepting()
-            self._listener.close_idle()
+            gevent.spawn(self._close_idle_connections)
         if snapshot.phase is Phase.ABORTING:
             logger.bind(in_flight=self._handler.in_flight).warning("requests aborted")
             self._handler.abort_unanswered()
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -407,13 +407,18 @@
         self._reset_timer.stop()
         self._socket.close()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection for reading if it waits for a request, which ends the wait.
 
-        A request that has already arrived is still read.
+        A request that has already arrived is still read. Returns False, and keeps the connection
+        open, if it is idle but the caller has not received all responses yet.
         """
-        if self.is_idle:
-            self._end_input()
+        if not self.is_idle:
+            return True
+        if self._unsent_bytes():
+            return False
+        self._end_input()
+        return True
 
     def close_if_receiving(self) -> None:
         """Close the connection for reading if it waits for a request or the rest of a body."""
--- a/packages/damasktide/src/damasktide/http1/listener.py
+++ b/packages/damasktide/src/damasktide/http1/listener.py
@@ -69,10 +69,15 @@
             self._server.do_handle(*accepted)
         self._server.close()
 
-    def close_idle(self) -> None:
-        """Close connections that wait for a request."""
-        for connection in list(self._connections):
-            connection.close_if_idle()
+    def close_idle(self) -> bool:
+        """Close connections that wait for a request, unless their callers still read responses.
+
+        Returns whether no idle connection is left.
+        """
+        kept = [
+            connection for connection in list(self._connections) if not connection.close_if_idle()
+        ]
+        return not kept
 
     def close_receiving(self) -> None:
         """Close connections that wait for a request or the rest of one; responses are sent."""
--- a/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/tests/test_caller_connection.py
@@ -106,6 +106,22 @@
         ending.join(1.0)
         self.assertTrue(ending.ready())
 
+    def test_idle_connection_is_kept_until_the_response_has_been_received(self) -> None:
+        """Guards against a planned stop that closes idle connections with unsent responses."""
+        self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        self.connection._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1_000_000)
+        self.request(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.connection.send(self.RESPONSE)
+        next_head = spawn(self.connection.read_request)
+        sleep(0.05)
+        self.assertFalse(self.connection.close_if_idle())
+        received = 0
+        while received < len(self.RESPONSE):
+            received += len(self.caller.recv(65_536))
+        sleep(0.05)
+        self.assertTrue(self.connection.close_if_idle())
+        self.assertIsNone(next_head.get(timeout=1.0))
+
     def test_caller_that_reads_nothing_is_not_waited_for(self) -> None:
         """Guards against connections that stay open for callers that have stopped reading."""
         self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
