Request a long response again that waited unread for its turn

Cause: the start of a large response was kept until the responses before it had been written, and the rest stayed unread at the target, which cuts off what is not read for some seconds. When its turn came, the start was sent, the rest was missing, and only closing the connection could tell the caller so.

Looking at the state of the target's connection: its end is queued behind the unread bytes, so nothing shows. Keeping whole responses: the memory of a machine bounds what may wait.

Change: if a long response had to wait for 1 s or more before the rest of it could be read, its start is discarded when its turn comes, and the request, which is idempotent, is sent again within the retry budget. The same holds for a response that is lost before a part of it was sent. Without an attempt left the caller gets 502 or 504, and the connection stays open.

Test: test_response_that_waited_for_its_turn_is_requested_again failed before (the connection ended in the response) and holds now.

--- a/packages/damasktide/src/damasktide/gateway/attempts.py
+++ b/packages/damasktide/src/damasktide/gateway/attempts.py
@@ -137,7 +137,19 @@
         self._key_wait_until = min(
             self._request.deadline, self._request.received_at + MAX_KEY_WAIT_S
         )
-        failure: FailedAttempt | None = None
+        return self._run(None)
+
+    def run_again(self, error: CallError) -> TargetResponse | Refusal:
+        """Return the result of further attempts after the response of the last one was lost.
+
+        Nothing of that response may have been sent to the caller.
+        """
+        failure = FailedAttempt(False, str(error))
+        if not self._may_retry(failure) or not self._has_token(MAX_WAIT_S):
+            return self._final_result(None, failure)
+        return self._run(failure)
+
+    def _run(self, failure: FailedAttempt | None) -> TargetResponse | Refusal:
         while True:
             if self._is_caller_disconnected:
                 return Refusal(502, Reason.CALLER_GONE, "the caller has left")
--- a/packages/damasktide/src/damasktide/gateway/exchange.py
+++ b/packages/damasktide/src/damasktide/gateway/exchange.py
@@ -49,6 +49,15 @@
             If the data cannot be sent.
         """
 
+    def wait_to_send(self) -> float:
+        """Wait until a further part of the response may be sent; return the seconds waited.
+
+        Raises
+        ------
+        OSError
+            If the connection has ended.
+        """
+
     def discard_unsent(self) -> bool:
         """Discard the response; return False if a part of it has been sent."""
 
--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -48,9 +48,26 @@
 
 STARTING_RETRY_AFTER_S = 0.5
 ROUTE_CHANGED_RETRY_AFTER_S = 0.1
+# Targets cut off a response of which nothing has been read for some seconds. The start of it that
+# was kept must not be sent then, because the rest would be missing.
+MAX_UNREAD_S = 1.0
 _CONNECTION_CLOSE = (b"Connection", b"close")
 
 
+class UnsentResponseError(Exception):
+    """The response of a target was lost before any part of it was sent to the caller.
+
+    Parameters
+    ----------
+    cause
+        How the response was lost.
+    """
+
+    def __init__(self, cause: CallError) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayContext:
     """Dependencies that all connections share.
@@ -296,16 +313,38 @@
             lambda max_wait_s: not self._take_token(request.organisation, max_wait_s),
             self._context.stop_times,
         )
+        try:
+            result = self._run_attempts(caller, request, attempts, attempts.run)
+            return self._respond(caller, request, attempts, result)
+        finally:
+            self._refund_tokens(request.organisation, attempts.unused_tokens)
+
+    def _run_attempts(
+        self,
+        caller: CallerExchange,
+        request: GatewayRequest,
+        attempts: Attempts,
+        run: Callable[[], TargetResponse | Refusal],
+    ) -> TargetResponse | Refusal:
+        """Return the result of ``run``, which a disconnect or the end of a stop aborts."""
         self._unanswered_attempts.add(attempts)
         caller.watch_for_disconnect(
             attempts.abort, request.route.kind.is_idempotent and request.head.keeps_alive
         )
         try:
-            result = attempts.run()
+            return run()
         finally:
             self._unanswered_attempts.discard(attempts)
             caller.stop_watching()
-            self._refund_tokens(request.organisation, attempts.unused_tokens)
+
+    def _respond(
+        self,
+        caller: CallerExchange,
+        request: GatewayRequest,
+        attempts: Attempts,
+        result: TargetResponse | Refusal,
+    ) -> bool:
+        """Send the result of a request; return whether the connection can carry another one."""
         if caller.is_disconnected:
             if attempts.call is not None:
                 attempts.call.close()
@@ -316,7 +355,14 @@
             self._send_refusal(caller, request.metadata, result, keeps_alive)
             self._context.telemetry.record_refusal(request.metadata.request_id, request, result)
             return keeps_alive
-        keeps_alive = self._send_response(caller, request, attempts.call, result, keeps_alive)
+        try:
+            keeps_alive = self._send_response(caller, request, attempts.call, result, keeps_alive)
+        except UnsentResponseError as error:
+            cause = error.cause
+            result = self._run_attempts(
+                caller, request, attempts, lambda: attempts.run_again(cause)
+            )
+            return self._respond(caller, request, attempts, result)
         self._context.telemetry.record_response(request, result)
         return keeps_alive
 
@@ -363,16 +409,15 @@
         try:
             caller.send(encode_response(head.status, head.reason, fields, None))
             caller.send(encode(response.body))
-            for data in call.read_remaining_body(request.caller_deadline):
+            for data in _paced_body(caller, call, request.caller_deadline):
                 caller.send(encode(data))
             if length is None:
                 caller.send(encode_chunk(b""))
         except (CallError, OSError) as error:
             call.close()
-            self._context.telemetry.record_truncated_response(request, str(error))
             if isinstance(error, CallError) and caller.discard_unsent():
-                self._send_refusal(caller, request.metadata, _truncated(error), keeps_alive)
-                return keeps_alive
+                raise UnsentResponseError(error) from error
+            self._context.telemetry.record_truncated_response(request, str(error))
             # The head has been sent, so only closing the connection tells the caller that the
             # response is incomplete.
             return False
@@ -456,10 +501,23 @@
     return not isinstance(caller, PipelinedRequest) or request.route.kind.is_idempotent
 
 
-def _truncated(error: CallError) -> Refusal:
-    if error.failure is CallFailure.TIMED_OUT:
-        return Refusal(504, Reason.TIMED_OUT, "no answer in time")
-    return Refusal(502, Reason.OUTCOME_UNKNOWN, str(error))
+def _paced_body(caller: CallerExchange, call: TargetCall, until: float) -> Iterator[bytes]:
+    """Yield the rest of a body, no faster than it may be sent or kept.
+
+    Raises
+    ------
+    CallError
+        If the body is not complete by ``until``, or has been left unread for too long.
+    """
+    parts = call.read_remaining_body(until)
+    while True:
+        waited_s = caller.wait_to_send()
+        if waited_s >= MAX_UNREAD_S:
+            raise CallError(CallFailure.CLOSED, f"not read from the target for {waited_s:.1f} s")
+        data = next(parts, None)
+        if data is None:
+            return
+        yield data
 
 
 def _identify(
--- a/packages/damasktide/src/damasktide/gateway/pipeline.py
+++ b/packages/damasktide/src/damasktide/gateway/pipeline.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from time import monotonic
 
 import gevent
 from gevent.event import Event
@@ -264,6 +265,7 @@
         self._pipeline = pipeline
         self._body = request.body
         self._unsent: list[bytes] = []
+        self._may_keep_more = True
         self._turn = Event()
         self._on_disconnect: Callable[[], None] | None = None
         self.number = number
@@ -285,8 +287,6 @@
     def send(self, data: bytes) -> None:
         """Write ``data``, or keep it until the responses before this one have been written.
 
-        Waits if a bound on kept data is exceeded.
-
         Raises
         ------
         OSError
@@ -296,8 +296,24 @@
             self._write(data)
             return
         self._unsent.append(data)
-        if not self._pipeline.hold(self.number, len(data)):
-            self.flush()
+        self._may_keep_more = self._pipeline.hold(self.number, len(data))
+
+    def wait_to_send(self) -> float:
+        """Wait for the responses before this one if a bound on kept data is exceeded.
+
+        Returns the seconds waited.
+
+        Raises
+        ------
+        OSError
+            If the connection has ended.
+        """
+        if self._may_keep_more:
+            return 0.0
+        started_at = monotonic()
+        self._wait_for_turn()
+        self._may_keep_more = True
+        return monotonic() - started_at
 
     def send_plain(self, status: int, reason: bytes, detail: str) -> None:
         """Send a plain-text response that announces the end of the connection."""
@@ -312,9 +328,7 @@
         OSError
             If the connection has ended.
         """
-        while not self._pipeline.may_write(self.number):
-            self._turn.wait()
-            self._turn.clear()
+        self._wait_for_turn()
         self._write(b"")
 
     def discard_unsent(self) -> bool:
@@ -322,6 +336,7 @@
         if not self._unsent:
             return False
         self._unsent.clear()
+        self._may_keep_more = True
         self._pipeline.release(self.number)
         return True
 
@@ -350,6 +365,11 @@
             self._on_disconnect()
         self._turn.set()
 
+    def _wait_for_turn(self) -> None:
+        while not self._pipeline.may_write(self.number):
+            self._turn.wait()
+            self._turn.clear()
+
     def _write(self, data: bytes) -> None:
         data = b"".join((*self._unsent, data))
         self._unsent.clear()
--- a/packages/damasktide/src/damasktide/gateway/tests/pipelined_gateway.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/pipelined_gateway.py
@@ -33,9 +33,11 @@
 
 TIMEOUT_S = 2.0
 KINDS = {"/read/": RouteKind.IDEMPOTENT, "/book/": RouteKind.NON_IDEMPOTENT}
-ROUTES = tuple(
-    Route(prefix, "", prefix, kind, (WeightedService("s", 1.0),), TIMEOUT_S)
-    for prefix, kind in KINDS.items()
+RETRIED = "/retried/"
+SERVICES = (WeightedService("s", 1.0),)
+ROUTES = (
+    *(Route(prefix, "", prefix, kind, SERVICES, TIMEOUT_S) for prefix, kind in KINDS.items()),
+    Route(RETRIED, "", RETRIED, RouteKind.IDEMPOTENT, SERVICES, TIMEOUT_S, max_attempts=2),
 )
 
 
@@ -91,7 +93,7 @@
             lambda: self.stop_times,
             lambda: None,
             lambda: None,
-            RetryLimits(),
+            RetryLimits(slack=10.0),
             GatewayTelemetry(self.registry),
             pipeline_budget=self.budget,
         )
--- a/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
+++ b/packages/damasktide/src/damasktide/gateway/tests/test_pipelining.py
@@ -6,7 +6,13 @@
 
 from gevent import sleep, socket
 
-from damasktide.gateway.tests.pipelined_gateway import PipelinedGatewayTest, book, read
+from damasktide.gateway.handler import MAX_UNREAD_S
+from damasktide.gateway.tests.pipelined_gateway import (
+    RETRIED,
+    PipelinedGatewayTest,
+    book,
+    read,
+)
 from damasktide.lifecycle.state import StopTimes
 
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -157,6 +163,24 @@
         self.release["a"].set()
         self.assertEqual(self.responses(3), ["a", "502", "c"])
 
+    def test_response_that_waited_for_its_turn_is_requested_again(self) -> None:
+        """Guards against a connection that ends behind a large response (review/10).
+
+        Its target cuts off what is not read for some seconds, after a part of it has arrived.
+        """
+        self.hold("a")
+        self.bodies["b"] = LONG
+        self.cut_at = {"b": 1_000_000}
+        retried = read("b").replace(b"/read/", RETRIED.encode())
+        self.caller.sendall(read("a") + retried + read("c"))
+        self.wait_until(lambda: len(self.started) == 3)
+        sleep(MAX_UNREAD_S + 0.1)
+        self.cut_at = {}
+        self.release["a"].set()
+        self.assertEqual(self.responses(3), ["a", "b", "c"])
+        self.assertIn(LONG, self.received)
+        self.assertEqual(self.started.count("b"), 2)
+
     def test_aborted_caller_aborts_all_calls(self) -> None:
         self.hold("a", "b", "c")
         self.caller.sendall(read("a") + read("b") + read("c") + book("d"))
--- a/packages/damasktide/src/damasktide/http1/caller_connection.py
+++ b/packages/damasktide/src/damasktide/http1/caller_connection.py
@@ -267,6 +267,10 @@
         headers = ((b"Content-Type", b"text/plain"), (b"Connection", b"close"))
         self.send(encode_response(status, reason, headers, f"{detail}\n".encode()))
 
+    def wait_to_send(self) -> float:
+        """Return 0, because :meth:`send` itself waits for the caller."""
+        return 0.0
+
     def discard_unsent(self) -> bool:
         """Return False, because :meth:`send` keeps nothing back."""
         return False
