Log and count responses that are lost before they are sent

Ruled out: counting them as cut responses, whose start callers have got. Change: the counter damasktide_unsent_responses and the log line "response lost before it was sent" with the id and the cause. Measured: the tests of pipelining hold.

--- a/packages/damasktide/src/damasktide/gateway/handler.py
+++ b/packages/damasktide/src/damasktide/gateway/handler.py
@@ -359,6 +359,7 @@
             keeps_alive = self._send_response(caller, request, attempts.call, result, keeps_alive)
         except UnsentResponseError as error:
             cause = error.cause
+            self._context.telemetry.record_unsent_response(request, str(cause))
             result = self._run_attempts(
                 caller, request, attempts, lambda: attempts.run_again(cause)
             )
--- a/packages/damasktide/src/damasktide/gateway/telemetry.py
+++ b/packages/damasktide/src/damasktide/gateway/telemetry.py
@@ -55,6 +55,11 @@
         self._truncated_responses = Counter(
             "damasktide_broken_off", "Responses cut after their head.", registry=registry
         )
+        self._unsent_responses = Counter(
+            "damasktide_unsent_responses",
+            "Responses lost before a part of them was sent.",
+            registry=registry,
+        )
         self._disconnects = Counter(
             "damasktide_callers_left", "Callers that left before the answer.", registry=registry
         )
@@ -123,6 +128,14 @@
                 "response truncated: {}", cause
             )
 
+    def record_unsent_response(self, request: GatewayRequest, cause: str) -> None:
+        """Record a response that was lost before a part of it was sent to the caller."""
+        self._unsent_responses.inc()
+        if self._log_limiter.allows(monotonic(), "response_lost"):
+            logger.bind(**_request_fields(request), reason="response_lost").info(
+                "response lost before it was sent: {}", cause
+            )
+
     def record_pipelined(self) -> None:
         """Record the start of a request behind an unanswered one."""
         self._pipelined_requests.inc()
