Keep the known incarnation of a target beside one with an earlier start

The leader takes a replaced incarnation for an ended one and may give its keys to others at once. A row of an ended incarnation can stay for longer, when a restored store brings it back while the target is cut off from the store; then the running incarnation still holds its keys.

Ruled out: waiting longer before the replacement; the time for which a target can be cut off from the store has no bound.

Change: an incarnation with an earlier start never replaces the known one. If it drains, and is no delayed check-in, the target is withdrawn. Its next check-in with the known start makes it usable again.

--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -10,8 +10,8 @@
 # Time for which entries that expired during a store outage are kept, counted from the first
 # response after the outage. Live targets are listed again within 2 s of the store's return.
 EXPIRED_ENTRY_GRACE_S = 2.2
-# Time after which an incarnation that started earlier than the known one replaces it, if that one
-# has not checked in meanwhile. A live target checks in about once a second.
+# Time after which an incarnation that started earlier than the known one is taken for a later one,
+# if the known one has not checked in meanwhile. A live target checks in about once a second.
 EARLIER_START_CONFIRMATION_S = 2.2
 # Number of incarnations remembered as leaving. They are kept after their entries have gone,
 # because an entry may lapse and return.
@@ -185,29 +185,26 @@
             self._remove(target_id)
         return expired
 
-    def accept_earlier_starts(self, now: float) -> tuple[TargetEntry, ...]:
-        """Replace incarnations that a later one with an earlier start has followed.
+    def withdraw_earlier_starts(self, now: float) -> tuple[str, ...]:
+        """Withdraw and return the targets that drain according to an earlier start.
 
-        The time of day of a target's machine may have been set back before it started again.
-        Returns the entries that are now in force.
+        The time of day of a target's machine may have been set back before it started again. The
+        known incarnation is not replaced: if it still runs, it holds its keys.
         """
         if self._is_store_unavailable:
             return ()
-        accepted = tuple(
-            earlier
-            for earlier in self._earlier_start_by_id.values()
-            if now
-            >= max(earlier.listed_since, self._store_available_at) + EARLIER_START_CONFIRMATION_S
+        withdrawn = tuple(
+            target_id
+            for target_id, earlier in self._earlier_start_by_id.items()
+            if self._is_draining_for_certain(now, earlier)
+            and self._entry_by_id[target_id].state is TargetState.READY
         )
-        for earlier in accepted:
-            target_id = earlier.entry.target_id
-            del self._earlier_start_by_id[target_id]
-            self._kept_until_by_id.pop(target_id, None)
-            self._version_by_id[target_id] = earlier.version
-            self._entry_by_id[target_id] = earlier.entry
-        if accepted:
+        for target_id in withdrawn:
+            entry = self._entry_by_id[target_id]
+            self._entry_by_id[target_id] = replace(entry, state=TargetState.DRAINING)
+        if withdrawn:
             self._rebuild()
-        return tuple(earlier.entry for earlier in accepted)
+        return withdrawn
 
     def record_leaving(self, now: float, incarnation: tuple[str, int]) -> bool:
         """Record that a target announced its end in a response; return whether that is new.
@@ -246,6 +243,12 @@
         listed_since = earlier.listed_since if earlier is not None and is_same else now
         self._earlier_start_by_id[entry.target_id] = _EarlierStart(entry, version, listed_since)
 
+    def _is_draining_for_certain(self, now: float, earlier: _EarlierStart) -> bool:
+        """Return whether a check-in with an earlier start is not a delayed one, and drains."""
+        listed_since = max(earlier.listed_since, self._store_available_at)
+        is_delayed = now < listed_since + EARLIER_START_CONFIRMATION_S
+        return earlier.entry.state is TargetState.DRAINING and not is_delayed
+
     def _may_be_restored(self, version: int, entry: TargetEntry) -> bool:
         """Return whether a row may come from a copy that is older than what is known.
 
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -124,11 +124,9 @@
         self._publish()
 
     @every(EXPIRY_INTERVAL_S)
-    def _accept_earlier_starts(self) -> None:
-        for entry in self._directory.accept_earlier_starts(monotonic()):
-            logger.bind(
-                target=entry.target_id, life=entry.started_at_ms, state=entry.state.value
-            ).info("target started again with an earlier time")
+    def _withdraw_earlier_starts(self) -> None:
+        for target_id in self._directory.withdraw_earlier_starts(monotonic()):
+            logger.bind(target=target_id).info("target with an earlier start drains")
         self._publish()
 
     @handles(TableRead, OnError.DROP_MESSAGE)
