Count returned targets as cold until they have checked in

An outage shorter than two check-in intervals did not count either, and late writes are no outage.

Change: the end of an evacuation is passed on with its version of the store. A target of the domain counts as cold until a check-in of a later version arrives, at most for the duration of a cold start that its service states. Instances relay the first check-in after a return even if nothing else changed. The view of the targets is rebuilt once a message instead of once a row.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -1,6 +1,6 @@
 """A gateway instance with its tasks, its listeners and its graceful stop."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from secrets import randbits
 from time import monotonic, time
@@ -397,8 +397,10 @@
         )
         self._assignment.tell(KeyedServices(self._keyed_services))
 
-    def _evacuation_changed(self, domains: frozenset[str]) -> None:
-        self._targets.tell(EvacuatedDomains(domains))
+    def _evacuation_changed(
+        self, domains: frozenset[str], ended_at_version_by_domain: Mapping[str, int]
+    ) -> None:
+        self._targets.tell(EvacuatedDomains(domains, ended_at_version_by_domain))
 
     def _close_idle_connections(self) -> None:
         """Close idle connections until the stop; it waits for responses that are being read."""
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -129,11 +129,8 @@
             )
             if has_new_cold_start and entry.cold_start_remaining_s > 0.0:
                 estimate.cold_until = now + entry.cold_start_remaining_s
-            suspected_cold_until = view.suspected_cold_until_by_domain.get(
-                entry.domain, float("-inf")
-            )
-            estimate.suspected_cold_until = max(
-                estimate.suspected_cold_until, suspected_cold_until
+            estimate.unconfirmed_since = view.unconfirmed_since_by_id.get(
+                entry.target_id, float("-inf")
             )
             estimate.entry = entry
             self._estimate_by_incarnation[entry.incarnation] = estimate
@@ -208,7 +205,7 @@
             estimate.load_factor(now),
             estimate.has_free_slot(now),
         )
-        if estimate.is_cold(now):
+        if estimate.is_cold(now, query.service.cold_s):
             self._cold_limiter.record_send(now, estimate.entry.target_id)
         estimate.record_call_start(now, typical_call_s)
         return selection
@@ -390,7 +387,7 @@
         if len(sampled) == len(reachable):
             return None
         best = self._rank_targets(now, sampled, query)[0][1]
-        if not best.has_free_slot(now) or best.is_cold(now):
+        if not best.has_free_slot(now) or best.is_cold(now, query.service.cold_s):
             return None
         in_time = self._admit_if_in_time(now, best, query)
         return in_time if isinstance(in_time, LoadEstimate) else None
@@ -451,7 +448,7 @@
         )
 
     def _may_send_to_cold(self, now: float, estimate: LoadEstimate, service: Service) -> bool:
-        if not estimate.is_cold(now) or service.cold_requests_per_s <= 0.0:
+        if not estimate.is_cold(now, service.cold_s) or service.cold_requests_per_s <= 0.0:
             return True
         entry = estimate.entry
         return self._cold_limiter.may_send(
--- a/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
@@ -43,22 +43,35 @@
     return max(sum(start <= at < start + 1.0 for at in sent_at) for start in sent_at)
 
 
-class TestSuspectedColdDomain(unittest.TestCase):
+class TestReturnedDomain(unittest.TestCase):
     """A failure domain returns to service while its targets may be cold without saying so."""
 
-    def test_load_is_limited_until_the_targets_have_checked_in(self) -> None:
-        """Guards against targets that crash under full load after an evacuation (review/7)."""
-        dispatcher = make_dispatcher(make_target("t1"))
-        view = replace(make_view(make_target("t1")), suspected_cold_until_by_domain={"a1": 3.0})
-        dispatcher.set_targets(1.0, view)
+    def setUp(self) -> None:
+        self.dispatcher = make_dispatcher(make_target("t1"))
+        view = replace(make_view(make_target("t1")), unconfirmed_since_by_id={"t1": 1.0})
+        self.dispatcher.set_targets(1.0, view)
         sent = 0
-        while isinstance(dispatcher.choose(2.0, make_query()), TargetSelection):
+        while isinstance(self.dispatcher.choose(2.0, make_query()), TargetSelection):
             sent += 1
             self.assertLessEqual(sent, LIMIT_PER_S)
-        refused = dispatcher.choose(2.0, make_query())
+
+    def test_load_is_limited_until_the_targets_have_checked_in(self) -> None:
+        """Guards against targets that crash under full load after an evacuation (review/7)."""
+        refused = self.dispatcher.choose(2.0, make_query())
         assert isinstance(refused, NoTarget)
         self.assertIs(refused.reason, NoTargetReason.ALL_COLD)
-        self.assertIsInstance(dispatcher.choose(3.0, make_query()), TargetSelection)
+        self.dispatcher.set_targets(2.1, make_view(make_target("t1")))
+        self.assertIsInstance(self.dispatcher.choose(2.1, make_query()), TargetSelection)
+
+    def test_limit_ends_with_the_longest_cold_start(self) -> None:
+        """Guards against a lasting limit on targets that cannot reach the store."""
+        still_cold_at = 1.0 + SERVICE.cold_s - 0.1
+        sent = 0
+        while isinstance(self.dispatcher.choose(still_cold_at, make_query()), TargetSelection):
+            sent += 1
+            self.assertLessEqual(sent, LIMIT_PER_S)
+        warm_at = 1.0 + SERVICE.cold_s
+        self.assertIsInstance(self.dispatcher.choose(warm_at, make_query()), TargetSelection)
 
 
 class TestColdStartLimiter(unittest.TestCase):
--- a/packages/damasktide/src/damasktide/routing/task.py
+++ b/packages/damasktide/src/damasktide/routing/task.py
@@ -1,6 +1,6 @@
 """Task that follows the operators' configuration."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from loguru import logger
@@ -86,8 +86,11 @@
         Name of the operators' table.
     decode
         Decodes a row; the value of a dropped row is empty. Raises :class:`MalformedRecordError`.
-    on_configuration, on_evacuated
-        Called with each new configuration and with each new set of evacuated failure domains.
+    on_configuration
+        Called with each new configuration.
+    on_evacuated
+        Called with each new set of evacuated failure domains, and with the version of the store
+        at the end of the latest evacuation of each failure domain.
     on_failure
         See :class:`damasktide.runtime.task.Task`.
     """
@@ -98,7 +101,7 @@
         table: str,
         decode: RecordDecoder,
         on_configuration: Callable[[RoutingConfiguration], None],
-        on_evacuated: Callable[[frozenset[str]], None],
+        on_evacuated: Callable[[frozenset[str], Mapping[str, int]], None],
         on_failure: Callable[[TaskFailed], None] | None = None,
     ) -> None:
         super().__init__("routing", on_failure)
@@ -110,6 +113,7 @@
         self._clock = LeaseClock()
         self._version_by_key: dict[str, int] = {}
         self._evacuated_domain_by_key: dict[str, str] = {}
+        self._ended_at_version_by_domain: dict[str, int] = {}
         # Number of the row that was withdrawn; a restore may bring the same row back.
         self._withdrawn_number_by_key: dict[str, int] = {}
         # Version of the restored table since which a missing evacuation is kept.
@@ -150,8 +154,10 @@
             return
         logger.bind(row=key).info("evacuation ended: it was not written again")
         del self._kept_since_by_key[key]
-        self._evacuated_domain_by_key.pop(key, None)
-        self._on_evacuated(frozenset(self._evacuated_domain_by_key.values()))
+        domain = self._evacuated_domain_by_key.pop(key, None)
+        if domain is not None:
+            self._ended_at_version_by_domain[domain] = message.state_version
+        self._publish_evacuated()
 
     @handles(TableChanged, OnError.DROP_MESSAGE)
     def _table_changed(self, message: TableChanged) -> None:
@@ -226,6 +232,13 @@
     def _evacuate(self, row: Row, evacuation: Evacuation) -> None:
         if row.is_dropped:
             self._evacuated_domain_by_key.pop(row.key, None)
+            self._ended_at_version_by_domain[evacuation.domain] = row.version
         else:
             self._evacuated_domain_by_key[row.key] = evacuation.domain
-        self._on_evacuated(frozenset(self._evacuated_domain_by_key.values()))
+        self._publish_evacuated()
+
+    def _publish_evacuated(self) -> None:
+        self._on_evacuated(
+            frozenset(self._evacuated_domain_by_key.values()),
+            dict(self._ended_at_version_by_domain),
+        )
--- a/packages/damasktide/src/damasktide/routing/tests/test_task.py
+++ b/packages/damasktide/src/damasktide/routing/tests/test_task.py
@@ -1,6 +1,7 @@
-"""Configuration and evacuations when the store returns from an older copy, without a network."""
+"""Evacuations and their ends, and the return of the store from an older copy; no network."""
 
 import unittest
+from collections.abc import Mapping
 from unittest.mock import patch
 
 from damasktide.routing.configuration import RoutingConfiguration
@@ -24,15 +25,16 @@
     return RoutingConfiguration(int(row.value), (), {}) if row.value else None
 
 
-class TestRestore(unittest.TestCase):
+class TestEvacuation(unittest.TestCase):
     def setUp(self) -> None:
         self.evacuated: frozenset[str] = frozenset()
+        self.ended_at_version_by_domain: Mapping[str, int] = {}
         self.task = RoutingTask(
             None,  # type: ignore[arg-type]
             TABLE,
             decode,
             lambda configuration: None,
-            lambda domains: setattr(self, "evacuated", domains),
+            self.set_evacuated,
         )
         self.delayed: list[tuple[object, float]] = []
         patcher = patch.object(
@@ -44,6 +46,12 @@
         self.addCleanup(patcher.stop)
         self.read(1, 9, Row("config", b"7", version_of(1, 8)), self.evacuation(1, 9))
 
+    def set_evacuated(
+        self, domains: frozenset[str], ended_at_version_by_domain: Mapping[str, int]
+    ) -> None:
+        self.evacuated = domains
+        self.ended_at_version_by_domain = ended_at_version_by_domain
+
     @staticmethod
     def evacuation(era: int, number: int, is_dropped: bool = False) -> Row:
         return Row(EVACUATION, b"", version_of(era, number), is_dropped)
@@ -61,6 +69,22 @@
             self.assertEqual(delay_s, EVACUATION_GRACE_S)
             self.task._evacuation_grace_ended(message)
 
+    def test_end_is_the_deletion_of_the_row(self) -> None:
+        self.change(self.evacuation(1, 12, is_dropped=True))
+        self.assertEqual(self.evacuated, frozenset())
+        self.assertEqual(self.ended_at_version_by_domain, {"a1": version_of(1, 12)})
+
+    def test_end_that_is_found_by_a_complete_read(self) -> None:
+        """Guards against a return without a limit on cold targets if the changes were missed."""
+        self.read(1, 15, Row("config", b"7", version_of(1, 8)))
+        self.assertEqual(self.evacuated, frozenset())
+        self.assertEqual(self.ended_at_version_by_domain, {"a1": version_of(1, 15)})
+
+    def test_end_of_an_evacuation_that_was_missed(self) -> None:
+        self.change(self.evacuation(1, 12, is_dropped=True))
+        self.change(self.evacuation(1, 20, is_dropped=True))
+        self.assertEqual(self.ended_at_version_by_domain, {"a1": version_of(1, 20)})
+
     def test_older_configuration_does_not_take_effect(self) -> None:
         self.read(2, 5, Row("config", b"6", version_of(2, 4)))
         in_force = self.task.in_force.value
@@ -74,6 +98,7 @@
         self.assertEqual(self.evacuated, {"a1"})
         self.end_grace()
         self.assertEqual(self.evacuated, frozenset())
+        self.assertEqual(self.ended_at_version_by_domain, {"a1": version_of(2, 5)})
 
     def test_evacuation_that_is_withdrawn_in_the_grace_period_ends(self) -> None:
         self.read(2, 5)
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -1,7 +1,7 @@
 """Directory of the listed targets; keeps entries that expire during a store outage."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from damasktide.rows.store import era_of, number_of
@@ -18,6 +18,29 @@
 MAX_LEAVING = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class _Return:
+    """Return of a failure domain to service after an evacuation.
+
+    Attributes
+    ----------
+    version
+        Version of the store at which the evacuation ended.
+    known_since
+        Monotonic time in seconds at which this instance learned of it.
+    """
+
+    version: int
+    known_since: float
+
+    def precedes(self, version: int) -> bool:
+        """Return whether a row of ``version`` was written after the return.
+
+        A restored row is in a later era, but keeps the number that it had before.
+        """
+        return version > self.version and number_of(version) > number_of(self.version)
+
+
 @dataclass(frozen=True, slots=True)
 class _EarlierStart:
     """Latest entry of an incarnation whose start is earlier than that of the known one."""
@@ -45,7 +68,7 @@
         self._entry_by_id: dict[str, TargetEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
-        self._suspected_cold_until_by_domain: dict[str, float] = {}
+        self._return_by_domain: dict[str, _Return] = {}
         # Time until which a missing entry is kept; None until the outage in which it disappeared
         # has ended.
         self._kept_until_by_id: dict[str, float | None] = {}
@@ -54,10 +77,13 @@
         self._store_available_at = float("-inf")
         self._leaving_since_by_incarnation: dict[tuple[str, int], float] = {}
         self._view = TargetView()
+        self._is_view_outdated = False
 
     @property
     def view(self) -> TargetView:
         """The current view."""
+        if self._is_view_outdated:
+            self._rebuild()
         return self._view
 
     def record_store_unavailable(self) -> None:
@@ -123,12 +149,14 @@
             # The next check-in, within a second, has a higher number than this row.
             self._version_by_id[entry.target_id] = version
             return False
+        was_unconfirmed = known is not None and self._is_unconfirmed(known)
         self._version_by_id[entry.target_id] = version
         self._kept_until_by_id.pop(entry.target_id, None)
         if known == entry:
+            self._is_view_outdated |= was_unconfirmed and not self._is_unconfirmed(entry)
             return False
         self._entry_by_id[entry.target_id] = entry
-        self._rebuild()
+        self._is_view_outdated = True
         return True
 
     def record_unlisted(self, now: float, version: int, target_id: str) -> bool:
@@ -203,7 +231,7 @@
             entry = self._entry_by_id[target_id]
             self._entry_by_id[target_id] = replace(entry, state=TargetState.DRAINING)
         if withdrawn:
-            self._rebuild()
+            self._is_view_outdated = True
         return withdrawn
 
     def record_leaving(self, now: float, incarnation: tuple[str, int]) -> bool:
@@ -216,24 +244,44 @@
         self._leaving_since_by_incarnation[incarnation] = now
         if len(self._leaving_since_by_incarnation) > MAX_LEAVING:
             del self._leaving_since_by_incarnation[next(iter(self._leaving_since_by_incarnation))]
-        self._rebuild()
+        self._is_view_outdated = True
         return True
 
-    def set_evacuated(self, now: float, domains: frozenset[str]) -> bool:
+    def set_evacuated(
+        self, now: float, domains: frozenset[str], ended_at_version_by_domain: Mapping[str, int]
+    ) -> bool:
         """Replace the failure domains whose targets get no work; return whether they changed.
 
-        The targets of a domain may have become cold shortly before its evacuation ends. After an
-        outage of the store their entries may not say so yet.
+        The targets of a domain may have become cold shortly before its evacuation ends. Only what
+        they write after it shows whether they are: an earlier entry may be from before an outage
+        of the store, and not every instance notices an outage.
+
+        Parameters
+        ----------
+        now
+            Monotonic time in seconds.
+        domains
+            The failure domains.
+        ended_at_version_by_domain
+            Version of the store at the end of the latest evacuation of each failure domain.
         """
-        if domains == self._evacuated_domains:
+        ended = {
+            domain: _Return(version, now)
+            for domain, version in ended_at_version_by_domain.items()
+            if version > self._return_version(domain)
+        }
+        if domains == self._evacuated_domains and not ended:
             return False
-        if self._is_in_grace_period(now):
-            for domain in self._evacuated_domains - domains:
-                self._suspected_cold_until_by_domain[domain] = now + EXPIRED_ENTRY_GRACE_S
+        self._return_by_domain.update(ended)
         self._evacuated_domains = domains
-        self._rebuild()
+        self._is_view_outdated = True
         return True
 
+    def return_before(self, domain: str, version: int) -> int:
+        """Return the version of a domain's latest return if a row was written after it, or 0."""
+        latest = self._return_by_domain.get(domain)
+        return latest.version if latest is not None and latest.precedes(version) else 0
+
     def _record_earlier_start(self, now: float, version: int, entry: TargetEntry) -> None:
         """Record an entry that may be a delayed check-in of an incarnation that has ended."""
         earlier = self._earlier_start_by_id.get(entry.target_id)
@@ -265,6 +313,15 @@
         is_same_incarnation = known.incarnation == entry.incarnation
         return is_same_incarnation and entry.state is TargetState.READY
 
+    def _return_version(self, domain: str) -> int:
+        latest = self._return_by_domain.get(domain)
+        return 0 if latest is None else latest.version
+
+    def _is_unconfirmed(self, entry: TargetEntry) -> bool:
+        """Return whether a target has not checked in since its failure domain returned."""
+        latest = self._return_by_domain.get(entry.domain)
+        return latest is not None and not latest.precedes(self._version_by_id[entry.target_id])
+
     def _is_in_grace_period(self, now: float) -> bool:
         return self._is_store_unavailable or now < self._store_available_at + EXPIRED_ENTRY_GRACE_S
 
@@ -272,9 +329,10 @@
         self._kept_until_by_id.pop(target_id, None)
         self._earlier_start_by_id.pop(target_id, None)
         del self._entry_by_id[target_id]
-        self._rebuild()
+        self._is_view_outdated = True
 
     def _rebuild(self) -> None:
+        self._is_view_outdated = False
         entry_by_id = {entry.target_id: entry for entry in self._effective_entries()}
         leaving_since_by_id = {
             target_id: since
@@ -286,7 +344,11 @@
             {},
             self._evacuated_domains,
             leaving_since_by_id,
-            dict(self._suspected_cold_until_by_domain),
+            {
+                target_id: self._return_by_domain[entry.domain].known_since
+                for target_id, entry in entry_by_id.items()
+                if self._is_unconfirmed(entry)
+            },
         )
         usable_by_service: dict[str, list[TargetEntry]] = defaultdict(list)
         for target_id in sorted(self._entry_by_id):
--- a/packages/damasktide/src/damasktide/targets/target.py
+++ b/packages/damasktide/src/damasktide/targets/target.py
@@ -67,16 +67,16 @@
     leaving_since_by_id
         Monotonic time in seconds at which each listed target that announced its end in a response
         was first seen to do so.
-    suspected_cold_until_by_domain
-        Monotonic time in seconds until which the targets of a failure domain may be cold although
-        their entries do not say so.
+    unconfirmed_since_by_id
+        Monotonic time in seconds at which each listed target returned to service, if it has not
+        checked in since. It may be cold although its entry does not say so.
     """
 
     entry_by_id: Mapping[str, TargetEntry] = field(default_factory=dict)
     usable_by_service: Mapping[str, tuple[TargetEntry, ...]] = field(default_factory=dict)
     evacuated_domains: frozenset[str] = frozenset()
     leaving_since_by_id: Mapping[str, float] = field(default_factory=dict)
-    suspected_cold_until_by_domain: Mapping[str, float] = field(default_factory=dict)
+    unconfirmed_since_by_id: Mapping[str, float] = field(default_factory=dict)
 
     def usable(self, target_id: str) -> TargetEntry | None:
         """Return the target if it may be given work, else None."""
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -1,7 +1,7 @@
 """Task that follows the platform's list of targets."""
 
-from collections.abc import Callable, Hashable
-from dataclasses import dataclass
+from collections.abc import Callable, Hashable, Mapping
+from dataclasses import dataclass, field
 from time import monotonic
 
 from loguru import logger
@@ -39,9 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EvacuatedDomains:
-    """The failure domains whose targets must get no work."""
+    """The failure domains whose targets must get no work.
+
+    Attributes
+    ----------
+    domains
+        The failure domains.
+    ended_at_version_by_domain
+        Version of the store at the end of the latest evacuation of each failure domain.
+    """
 
     domains: frozenset[str]
+    ended_at_version_by_domain: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,8 +174,13 @@
 
     @handles(EvacuatedDomains)
     def _evacuated(self, message: EvacuatedDomains) -> None:
-        if self._directory.set_evacuated(monotonic(), message.domains):
-            logger.bind(domains=sorted(message.domains)).info("evacuated failure domains changed")
+        ended_at_version_by_domain = message.ended_at_version_by_domain
+        if self._directory.set_evacuated(monotonic(), message.domains, ended_at_version_by_domain):
+            logger.bind(
+                domains=sorted(message.domains),
+                ended_at_version_by_domain=dict(ended_at_version_by_domain),
+                unconfirmed=len(self._directory.view.unconfirmed_since_by_id),
+            ).info("evacuated failure domains changed")
         self._publish()
 
     @handles(TargetLeaving)
@@ -239,12 +253,17 @@
         return None
 
     def _fingerprint(self, row: Row) -> Hashable:
-        """Return the decoded entry, so that a check-in without other changes is not relayed."""
+        """Return the decoded entry, and the return of its failure domain that the row confirms.
+
+        A check-in without other changes is relayed only if it is the first one since the failure
+        domain has returned to service.
+        """
         try:
-            return self._decode(row)
+            entry = self._decode(row)
         except Exception:
             # _decode_logged logs the error when the row is applied.
             return row.value
+        return entry, self._directory.return_before(entry.domain, row.version)
 
     def _publish(self) -> None:
         view = self._directory.view
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from damasktide.rows.store import version_of
 from damasktide.targets.directory import (
     EARLIER_START_CONFIRMATION_S,
     EXPIRED_ENTRY_GRACE_S,
@@ -201,35 +202,65 @@
         self.assertEqual(usable_ids(self.directory), ["t1", "t2"])
 
     def test_evacuated_domain_gets_no_work_until_the_evacuation_ends(self) -> None:
-        self.directory.set_evacuated(1.0, frozenset({"a1"}))
+        self.directory.set_evacuated(1.0, frozenset({"a1"}), {})
         self.assertEqual(usable_ids(self.directory), [])
-        self.directory.set_evacuated(2.0, frozenset())
+        self.directory.set_evacuated(2.0, frozenset(), {"a1": 5})
         self.assertEqual(usable_ids(self.directory), ["t1"])
-        self.assertEqual(self.directory.view.suspected_cold_until_by_domain, {})
 
-    def test_targets_may_be_cold_if_an_evacuation_ends_beside_an_outage(self) -> None:
-        """Guards against full load on targets whose entries are from before the outage (review/7).
 
-        Their cold start is listed at their next check-in.
+class TestReturnOfADomain(unittest.TestCase):
+    """Targets may have become cold shortly before the evacuation of their domain ends."""
+
+    def setUp(self) -> None:
+        self.directory = TargetDirectory()
+        for version, listed in enumerate((entry(), entry("t2"), entry("t3", domain="a2")), 1):
+            self.directory.record_listed(0.0, version, listed)
+        self.directory.set_evacuated(1.0, frozenset({"a1"}), {})
+
+    def unconfirmed(self) -> dict[str, float]:
+        return dict(self.directory.view.unconfirmed_since_by_id)
+
+    def test_targets_are_unconfirmed_until_they_check_in(self) -> None:
+        """Guards against full load by an instance that has noticed no outage (review/7, seed 5).
+
+        The entries were from before an outage of the store.
         """
-        for ends_at in (9.9, 10.1, 10.0 + EXPIRED_ENTRY_GRACE_S - 0.1):
-            directory = TargetDirectory()
-            directory.record_listed(0.0, 1, entry())
-            directory.set_evacuated(1.0, frozenset({"a1", "a2"}))
-            directory.record_store_unavailable()
-            if ends_at > 10.0:
-                directory.record_store_available(10.0, unconfirmed_s=4.5)
-            directory.set_evacuated(ends_at, frozenset({"a2"}))
-            self.assertEqual(usable_ids(directory), ["t1"])
-            self.assertEqual(
-                directory.view.suspected_cold_until_by_domain,
-                {"a1": ends_at + EXPIRED_ENTRY_GRACE_S},
-            )
-
-    def test_targets_are_not_suspected_long_after_an_outage(self) -> None:
-        """Guards against a failure domain that returns slowly after each evacuation."""
-        self.directory.set_evacuated(1.0, frozenset({"a1"}))
-        self.directory.record_store_unavailable()
-        self.directory.record_store_available(10.0, unconfirmed_s=4.5)
-        self.directory.set_evacuated(10.0 + EXPIRED_ENTRY_GRACE_S, frozenset())
-        self.assertEqual(self.directory.view.suspected_cold_until_by_domain, {})
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
+        self.assertFalse(self.directory.record_listed(9.5, 21, entry()))
+        self.assertEqual(self.unconfirmed(), {"t2": 9.0})
+
+    def test_check_in_from_before_the_return_confirms_nothing(self) -> None:
+        """Guards against a check-in that is read late, and says nothing about the cold start."""
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.record_listed(9.5, 19, entry())
+        self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
+
+    def test_restored_entry_confirms_nothing(self) -> None:
+        """Guards against an older copy of the store, whose rows are in a later era."""
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.record_listed(9.5, version_of(1, 2), entry("t2"))
+        self.assertIn("t2", self.unconfirmed())
+        self.directory.record_listed(10.0, version_of(1, 21), entry("t2"))
+        self.assertNotIn("t2", self.unconfirmed())
+
+    def test_evacuation_that_was_missed_counts(self) -> None:
+        """Guards against full load by an instance that learns of an evacuation at its end."""
+        self.directory.set_evacuated(1.5, frozenset(), {})
+        self.directory.set_evacuated(9.0, frozenset(), {"a2": 20})
+        self.assertEqual(self.unconfirmed(), {"t3": 9.0})
+
+    def test_return_that_is_already_known_starts_nothing(self) -> None:
+        """Guards against a limit that each later evacuation of another domain starts again."""
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.set_evacuated(11.0, frozenset({"a2"}), {"a1": 20})
+        self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
+
+    def test_each_return_is_confirmed_anew(self) -> None:
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.record_listed(9.5, 21, entry())
+        self.directory.record_listed(9.5, 22, entry("t2"))
+        self.assertEqual(self.unconfirmed(), {})
+        self.directory.set_evacuated(10.0, frozenset({"a1"}), {"a1": 20})
+        self.directory.set_evacuated(15.0, frozenset(), {"a1": 30})
+        self.assertEqual(self.unconfirmed(), {"t1": 15.0, "t2": 15.0})
