Ask returned targets whether they are cold

Cause: the row of a target changes only if more than the number of its check-in does, so a target that stays warm is not heard of, and the limit lasted for the 3 s of a cold start at all instances. 121 requests for keys that the leader had moved to such targets were rejected as all_cold.

Ruled out: a late relay of check-ins; there are none to relay (55 versions of the store in 12 s with 32 targets that check in every 0.87 s).

Change: the instances that may send to a cold target ask it once for its health check, which states the time that remains; the question counts as a request against the limit. Targets that nothing is known of yet get no keys. They are warm once the time that their service states for a cold start has passed, which the directory now tracks, not the dispatcher.

--- a/packages/damasktide/src/damasktide/assembly/gateway_instance.py
+++ b/packages/damasktide/src/damasktide/assembly/gateway_instance.py
@@ -52,13 +52,14 @@
 from damasktide.relay.server import ChangesServer
 from damasktide.relay.table_sources import TableSources
 from damasktide.relay.tree import RelayPeer, relay_order, upstream
-from damasktide.routing.configuration import RoutingConfiguration
+from damasktide.routing.configuration import RoutingConfiguration, Service
 from damasktide.routing.task import RecordDecoder, RoutingTask
 from damasktide.rows.snapshot import TableSnapshot
 from damasktide.rows.store import RowStore
 from damasktide.runtime.clock import LeaseClock, MonotonicClock
 from damasktide.runtime.published import Published
 from damasktide.settings.gateway import GatewaySettings
+from damasktide.targets.cold_start_probe import ColdStartProber, HealthDecoder, ProbeTarget
 from damasktide.targets.target import TargetView
 from damasktide.targets.task import (
     SURVIVED_INTERVALS,
@@ -93,6 +94,8 @@
         Header fields of callers and targets.
     commands
         Codec of the commands that grant and release keys.
+    health
+        Decoder of responses to health checks.
     open_store
         Creates a client of the store.
     target_table, decode_target
@@ -105,6 +108,7 @@
 
     dialect: Dialect
     commands: CommandCodec
+    health: HealthDecoder
     open_store: Callable[[], RowStore]
     target_table: str
     decode_target: TargetDecoder
@@ -185,6 +189,7 @@
             on_failure,
             settings.check_in_interval_s,
             lambda: self._table_sources.uninterrupted_since(adapter.target_table),
+            self._cold_s,
         )
         self._assignment = AssignmentTask(
             record,
@@ -230,6 +235,7 @@
         if learner is not None:
             registry.register(CapacityCollector(self._dispatcher.estimates))
         self._pool = ConnectionPool()
+        self._prober = ColdStartProber(adapter.health, self._targets.tell)
         self._handler = GatewayHandler(self._gateway_context(adapter, registry))
         self._listener = Listener(
             (settings.listen.host, settings.listen.port), self._limits, self._handler.serve
@@ -251,6 +257,7 @@
         self._listener.start()
         self._lifecycle.start()
         self._targets.start()
+        self._prober.start()
         self._routing.start()
         self._assignment.start()
         if self._relay_exchange is not None:
@@ -334,8 +341,23 @@
             for entry in view.entry_by_id.values()
         }
         self._dispatcher.set_targets(monotonic(), view)
+        self._probe_returned_targets()
         self._assignment.tell(TargetsChanged(view))
 
+    def _cold_s(self, service_name: str) -> float:
+        service = self._service_by_name().get(service_name)
+        return service.cold_s if service is not None else 0.0
+
+    def _service_by_name(self) -> Mapping[str, Service]:
+        in_force = self._routing.in_force.value
+        return in_force.configuration.service_by_name if in_force is not None else {}
+
+    def _probe_returned_targets(self) -> None:
+        service_by_name = self._service_by_name()
+        for entry, returned_at in self._dispatcher.take_due_probes(monotonic(), service_by_name):
+            health_path = service_by_name[entry.service].health_path
+            self._prober.tell(ProbeTarget(entry, health_path, returned_at))
+
     def _members_changed(self, members: Members) -> None:
         self._quota_exchange.set_instances(members.record_by_name.values())
         if self._relay_exchange is None or members.link_key is None:
--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -129,9 +129,7 @@
             )
             if has_new_cold_start and entry.cold_start_remaining_s > 0.0:
                 estimate.cold_until = now + entry.cold_start_remaining_s
-            estimate.unconfirmed_since = view.unconfirmed_since_by_id.get(
-                entry.target_id, float("-inf")
-            )
+            estimate.is_unconfirmed = entry.target_id in view.unconfirmed_since_by_id
             estimate.entry = entry
             self._estimate_by_incarnation[entry.incarnation] = estimate
         self._cold_limiter.retain_only(set(view.entry_by_id))
@@ -165,6 +163,27 @@
             return report
         return replace(report, slots=max(1, round(report.slots * estimate.limit_fraction)))
 
+    def take_due_probes(
+        self, now: float, service_by_name: Mapping[str, Service]
+    ) -> Iterator[tuple[TargetEntry, float]]:
+        """Yield the returned targets to ask whether they are cold, with the time of their return.
+
+        Each is yielded once for each return, on the instances that may send to cold targets. A
+        question counts as a request to it.
+        """
+        for target_id, returned_at in self._view.unconfirmed_since_by_id.items():
+            entry = self._view.usable(target_id)
+            service = service_by_name.get(entry.service) if entry is not None else None
+            if entry is None or service is None or service.cold_requests_per_s <= 0.0:
+                continue
+            estimate = self._estimate_by_incarnation[entry.incarnation]
+            if estimate.probed_for_return_at == returned_at:
+                continue
+            if self._may_send_to_cold(now, estimate, service):
+                estimate.probed_for_return_at = returned_at
+                self._cold_limiter.record_send(now, target_id)
+                yield entry, returned_at
+
     def set_instances(self, instances: RegisteredInstances) -> None:
         """Replace the instances that share the request rate of cold targets."""
         self._instances = instances
@@ -205,7 +224,7 @@
             estimate.load_factor(now),
             estimate.has_free_slot(now),
         )
-        if estimate.is_cold(now, query.service.cold_s):
+        if estimate.is_cold(now):
             self._cold_limiter.record_send(now, estimate.entry.target_id)
         estimate.record_call_start(now, typical_call_s)
         return selection
@@ -387,7 +406,7 @@
         if len(sampled) == len(reachable):
             return None
         best = self._rank_targets(now, sampled, query)[0][1]
-        if not best.has_free_slot(now) or best.is_cold(now, query.service.cold_s):
+        if not best.has_free_slot(now) or best.is_cold(now):
             return None
         in_time = self._admit_if_in_time(now, best, query)
         return in_time if isinstance(in_time, LoadEstimate) else None
@@ -448,7 +467,7 @@
         )
 
     def _may_send_to_cold(self, now: float, estimate: LoadEstimate, service: Service) -> bool:
-        if not estimate.is_cold(now, service.cold_s) or service.cold_requests_per_s <= 0.0:
+        if not estimate.is_cold(now) or service.cold_requests_per_s <= 0.0:
             return True
         entry = estimate.entry
         return self._cold_limiter.may_send(
--- a/packages/damasktide/src/damasktide/dispatch/load_estimate.py
+++ b/packages/damasktide/src/damasktide/dispatch/load_estimate.py
@@ -92,9 +92,10 @@
         "duration_ratio_count",
         "entry",
         "in_flight",
+        "is_unconfirmed",
         "limit_fraction",
+        "probed_for_return_at",
         "suspected_cold_until",
-        "unconfirmed_since",
         "unreachable_count",
         "unreachable_until",
     )
@@ -107,7 +108,8 @@
         self.limit_fraction = 1.0
         self.cold_until = float("-inf")
         self.suspected_cold_until = float("-inf")
-        self.unconfirmed_since = float("-inf")
+        self.is_unconfirmed = False
+        self.probed_for_return_at = float("-inf")
         self.unreachable_until = float("-inf")
         self.unreachable_count = 0
         self._other_calls = 0.0
@@ -222,16 +224,9 @@
         """Record that another server responds at the target's address."""
         self.unreachable_until = max(self.unreachable_until, now + REPLACED_EXCLUSION_S)
 
-    def is_cold(self, now: float, cold_s: float) -> bool:
-        """Return whether the target is cold or suspected to be.
-
-        ``cold_s`` is the duration of a cold start of its service. A target that has not checked in
-        since it returned to service was cold by then, if at all.
-        """
-        cold_until = max(
-            self.cold_until, self.suspected_cold_until, self.unconfirmed_since + cold_s
-        )
-        return now < cold_until
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target is cold or may be."""
+        return self.is_unconfirmed or now < max(self.cold_until, self.suspected_cold_until)
 
     def failure_ratio(self, now: float) -> float:
         """Return the fraction of recent calls that failed; it decays without new calls."""
--- a/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
+++ b/packages/damasktide/src/damasktide/keyspace/assignment_controller.py
@@ -544,8 +544,8 @@
     def _holders(self, now: float, key_map: KeyMap) -> list[Holder]:
         """Return the targets that may hold keys.
 
-        A cold target that holds no key yet is left out while others can hold keys, because it
-        tolerates few requests.
+        A target that holds no key yet and is or may be cold is left out while others can hold
+        keys, because it tolerates few requests.
         """
         usable = self._view.usable_by_service.get(key_map.service, ())
         reachable = self._reachability.reachable(now, (entry.incarnation for entry in usable))
@@ -562,7 +562,10 @@
         ]
 
     def _is_cold(self, now: float, incarnation: Incarnation) -> bool:
-        return now < self._cold_until_by_incarnation.get(incarnation, float("-inf"))
+        is_unconfirmed = incarnation[0] in self._view.unconfirmed_since_by_id
+        return is_unconfirmed or now < self._cold_until_by_incarnation.get(
+            incarnation, float("-inf")
+        )
 
     def _forget_unused_entries(self) -> None:
         """Forget the entries of targets that are neither listed nor named in a map."""
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -1,7 +1,7 @@
 """Directory of the listed targets; keeps entries that expire during a store outage."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from damasktide.rows.store import era_of, number_of
@@ -61,14 +61,24 @@
     ----------
     shortest_outage_s
         Shortest outage of the store, in seconds, in which the entry of a live target can expire.
+    cold_s
+        Returns for how many seconds at most a target of a service stays cold.
     """
 
-    def __init__(self, shortest_outage_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        shortest_outage_s: float = 0.0,
+        cold_s: Callable[[str], float] = lambda service: float("inf"),
+    ) -> None:
         self._shortest_outage_s = shortest_outage_s
+        self._cold_s = cold_s
         self._entry_by_id: dict[str, TargetEntry] = {}
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
         self._return_by_domain: dict[str, _Return] = {}
+        # Version of the latest return after which it is known whether each target is cold, for
+        # targets whose entry has not changed since.
+        self._confirmed_return_by_id: dict[str, int] = {}
         # Time until which a missing entry is kept; None until the outage in which it disappeared
         # has ended.
         self._kept_until_by_id: dict[str, float | None] = {}
@@ -252,9 +262,10 @@
     ) -> bool:
         """Replace the failure domains whose targets get no work; return whether they changed.
 
-        The targets of a domain may have become cold shortly before its evacuation ends. Only what
-        they write after it shows whether they are: an earlier entry may be from before an outage
-        of the store, and not every instance notices an outage.
+        The targets of a domain may have become cold shortly before its evacuation ends. Earlier
+        entries do not show it: they may be from before an outage of the store, which not every
+        instance notices, or may be written late. Each target counts as unconfirmed until its entry
+        changes, it reports its cold start, or a cold start would have ended.
 
         Parameters
         ----------
@@ -277,10 +288,40 @@
         self._is_view_outdated = True
         return True
 
-    def return_before(self, domain: str, version: int) -> int:
-        """Return the version of a domain's latest return if a row was written after it, or 0."""
-        latest = self._return_by_domain.get(domain)
-        return latest.version if latest is not None and latest.precedes(version) else 0
+    def record_cold_start(
+        self, incarnation: tuple[str, int], returned_at: float, remaining_s: float
+    ) -> bool:
+        """Record a target's report of its cold start; return whether it was awaited.
+
+        Parameters
+        ----------
+        incarnation
+            The target.
+        returned_at
+            Monotonic time in seconds of the return to service for which it was asked.
+        remaining_s
+            Seconds of cold start that remain.
+        """
+        target_id, _ = incarnation
+        entry = self._entry_by_id.get(target_id)
+        if (
+            entry is None
+            or entry.incarnation != incarnation
+            or self.view.unconfirmed_since_by_id.get(target_id) != returned_at
+        ):
+            return False
+        self._confirmed_return_by_id[target_id] = self._return_version(entry.domain)
+        self._entry_by_id[target_id] = replace(entry, cold_start_remaining_s=remaining_s)
+        self._is_view_outdated = True
+        return True
+
+    def confirm_warm(self, now: float) -> None:
+        """Confirm the returned targets that would not be cold any more if they had been."""
+        for target_id, since in self.view.unconfirmed_since_by_id.items():
+            entry = self._entry_by_id[target_id]
+            if now >= since + self._cold_s(entry.service):
+                self._confirmed_return_by_id[target_id] = self._return_version(entry.domain)
+                self._is_view_outdated = True
 
     def _record_earlier_start(self, now: float, version: int, entry: TargetEntry) -> None:
         """Record an entry that may be a delayed check-in of an incarnation that has ended."""
@@ -318,9 +359,11 @@
         return 0 if latest is None else latest.version
 
     def _is_unconfirmed(self, entry: TargetEntry) -> bool:
-        """Return whether a target has not checked in since its failure domain returned."""
+        """Return whether it is not known if a target is cold since its domain returned."""
         latest = self._return_by_domain.get(entry.domain)
-        return latest is not None and not latest.precedes(self._version_by_id[entry.target_id])
+        if latest is None or latest.precedes(self._version_by_id[entry.target_id]):
+            return False
+        return self._confirmed_return_by_id.get(entry.target_id) != latest.version
 
     def _is_in_grace_period(self, now: float) -> bool:
         return self._is_store_unavailable or now < self._store_available_at + EXPIRED_ENTRY_GRACE_S
@@ -328,6 +371,7 @@
     def _remove(self, target_id: str) -> None:
         self._kept_until_by_id.pop(target_id, None)
         self._earlier_start_by_id.pop(target_id, None)
+        self._confirmed_return_by_id.pop(target_id, None)
         del self._entry_by_id[target_id]
         self._is_view_outdated = True
 
--- a/packages/damasktide/src/damasktide/targets/target.py
+++ b/packages/damasktide/src/damasktide/targets/target.py
@@ -68,8 +68,8 @@
         Monotonic time in seconds at which each listed target that announced its end in a response
         was first seen to do so.
     unconfirmed_since_by_id
-        Monotonic time in seconds at which each listed target returned to service, if it has not
-        checked in since. It may be cold although its entry does not say so.
+        Monotonic time in seconds at which each listed target returned to service, if it is not
+        known yet whether it is cold. Its entry may be from before it became cold.
     """
 
     entry_by_id: Mapping[str, TargetEntry] = field(default_factory=dict)
--- a/packages/damasktide/src/damasktide/targets/task.py
+++ b/packages/damasktide/src/damasktide/targets/task.py
@@ -20,6 +20,7 @@
 from damasktide.runtime.clock import LeaseClock
 from damasktide.runtime.published import Published
 from damasktide.runtime.task import OnError, Task, TaskFailed, every, handles
+from damasktide.targets.cold_start_probe import ColdStartReported
 from damasktide.targets.directory import EXPIRED_ENTRY_GRACE_S, TargetDirectory
 from damasktide.targets.target import TargetEntry, TargetView
 
@@ -83,6 +84,8 @@
     uninterrupted_since
         Returns the time on the lease clock since which the store has served the table to this
         instance or to its sources.
+    cold_s
+        Returns for how many seconds at most a target of a service stays cold.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         on_failure: Callable[[TaskFailed], None] | None = None,
         check_in_interval_s: float = 0.0,
         uninterrupted_since: Callable[[], float] = lambda: float("inf"),
+        cold_s: Callable[[str], float] = lambda service: float("inf"),
     ) -> None:
         super().__init__("targets", on_failure)
         self.view: Published[TargetView] = Published(TargetView())
@@ -105,7 +109,7 @@
         self._decode = decode
         self._on_change = on_change
         self._on_store_unavailable = on_store_unavailable
-        self._directory = TargetDirectory(SURVIVED_INTERVALS * check_in_interval_s)
+        self._directory = TargetDirectory(SURVIVED_INTERVALS * check_in_interval_s, cold_s)
         self._clock = LeaseClock()
         self._uninterrupted_since = uninterrupted_since
         # Time of the last confirmation before the latest outage.
@@ -132,6 +136,11 @@
             logger.bind(target=target_id).info("target removed after the grace period")
         self._publish()
 
+    @every(EXPIRY_INTERVAL_S)
+    def _confirm_warm(self) -> None:
+        self._directory.confirm_warm(monotonic())
+        self._publish()
+
     @every(EXPIRY_INTERVAL_S)
     def _withdraw_earlier_starts(self) -> None:
         for target_id in self._directory.withdraw_earlier_starts(monotonic()):
@@ -183,6 +192,13 @@
             ).info("evacuated failure domains changed")
         self._publish()
 
+    @handles(ColdStartReported)
+    def _cold_start_reported(self, message: ColdStartReported) -> None:
+        self._directory.record_cold_start(
+            message.incarnation, message.returned_at, message.cold_start_remaining_s
+        )
+        self._publish()
+
     @handles(TargetLeaving)
     def _leaving(self, message: TargetLeaving) -> None:
         if self._directory.record_leaving(monotonic(), message.incarnation):
@@ -253,17 +269,12 @@
         return None
 
     def _fingerprint(self, row: Row) -> Hashable:
-        """Return the decoded entry, and the return of its failure domain that the row confirms.
-
-        A check-in without other changes is relayed only if it is the first one since the failure
-        domain has returned to service.
-        """
+        """Return the decoded entry, so that a check-in without other changes is not relayed."""
         try:
-            entry = self._decode(row)
+            return self._decode(row)
         except Exception:
             # _decode_logged logs the error when the row is applied.
             return row.value
-        return entry, self._directory.return_before(entry.domain, row.version)
 
     def _publish(self) -> None:
         view = self._directory.view
