Do not take a late check-in for a warm target

Ruled out: the probe, which had been answered in time.

Change: only a row that states a cold start confirms a returned target. One that is listed again within the time of a cold start is unconfirmed too.

Test: test_check_in_that_is_written_late_confirms_nothing failed before. Tests in which a row without a cold start confirmed a target now use rows that state one.

--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -76,9 +76,8 @@
         self._version_by_id: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
         self._return_by_domain: dict[str, _Return] = {}
-        # Version of the latest return after which it is known whether each target is cold, for
-        # targets whose entry has not changed since.
-        self._confirmed_return_by_id: dict[str, int] = {}
+        # Monotonic time of the latest return of the targets that may be cold without saying so.
+        self._unconfirmed_since_by_id: dict[str, float] = {}
         # Time until which a missing entry is kept; None until the outage in which it disappeared
         # has ended.
         self._kept_until_by_id: dict[str, float | None] = {}
@@ -159,13 +158,12 @@
             # The next check-in, within a second, has a higher number than this row.
             self._version_by_id[entry.target_id] = version
             return False
-        was_unconfirmed = known is not None and self._is_unconfirmed(known)
         self._version_by_id[entry.target_id] = version
         self._kept_until_by_id.pop(entry.target_id, None)
         if known == entry:
-            self._is_view_outdated |= was_unconfirmed and not self._is_unconfirmed(entry)
             return False
         self._entry_by_id[entry.target_id] = entry
+        self._update_unconfirmed(now, version, entry, is_new=known is None)
         self._is_view_outdated = True
         return True
 
@@ -265,7 +263,8 @@
         The targets of a domain may have become cold shortly before its evacuation ends. Earlier
         entries do not show it: they may be from before an outage of the store, which not every
         instance notices, or may be written late. Each target counts as unconfirmed until its entry
-        changes, it reports its cold start, or a cold start would have ended.
+        or a report states a cold start, a report states that it is warm, or a cold start would
+        have ended. An entry without a cold start confirms nothing, because it may be written late.
 
         Parameters
         ----------
@@ -284,6 +283,9 @@
         if domains == self._evacuated_domains and not ended:
             return False
         self._return_by_domain.update(ended)
+        for target_id, entry in self._entry_by_id.items():
+            if entry.domain in ended:
+                self._unconfirmed_since_by_id[target_id] = now
         self._evacuated_domains = domains
         self._is_view_outdated = True
         return True
@@ -307,21 +309,24 @@
         if (
             entry is None
             or entry.incarnation != incarnation
-            or self.view.unconfirmed_since_by_id.get(target_id) != returned_at
+            or self._unconfirmed_since_by_id.get(target_id) != returned_at
         ):
             return False
-        self._confirmed_return_by_id[target_id] = self._return_version(entry.domain)
+        del self._unconfirmed_since_by_id[target_id]
         self._entry_by_id[target_id] = replace(entry, cold_start_remaining_s=remaining_s)
         self._is_view_outdated = True
         return True
 
     def confirm_warm(self, now: float) -> None:
         """Confirm the returned targets that would not be cold any more if they had been."""
-        for target_id, since in self.view.unconfirmed_since_by_id.items():
-            entry = self._entry_by_id[target_id]
-            if now >= since + self._cold_s(entry.service):
-                self._confirmed_return_by_id[target_id] = self._return_version(entry.domain)
-                self._is_view_outdated = True
+        warm_ids = [
+            target_id
+            for target_id, since in self._unconfirmed_since_by_id.items()
+            if now >= since + self._cold_s(self._entry_by_id[target_id].service)
+        ]
+        for target_id in warm_ids:
+            del self._unconfirmed_since_by_id[target_id]
+            self._is_view_outdated = True
 
     def _record_earlier_start(self, now: float, version: int, entry: TargetEntry) -> None:
         """Record an entry that may be a delayed check-in of an incarnation that has ended."""
@@ -358,12 +363,18 @@
         latest = self._return_by_domain.get(domain)
         return 0 if latest is None else latest.version
 
-    def _is_unconfirmed(self, entry: TargetEntry) -> bool:
-        """Return whether it is not known if a target is cold since its domain returned."""
+    def _update_unconfirmed(
+        self, now: float, version: int, entry: TargetEntry, is_new: bool
+    ) -> None:
+        """Update whether it is known if a target is cold, after its entry has changed."""
         latest = self._return_by_domain.get(entry.domain)
-        if latest is None or latest.precedes(self._version_by_id[entry.target_id]):
-            return False
-        return self._confirmed_return_by_id.get(entry.target_id) != latest.version
+        if latest is None:
+            return
+        if entry.cold_start_remaining_s > 0.0 and latest.precedes(version):
+            self._unconfirmed_since_by_id.pop(entry.target_id, None)
+        elif is_new and now < latest.known_since + self._cold_s(entry.service):
+            # A late write may restore an entry that was deleted.
+            self._unconfirmed_since_by_id[entry.target_id] = latest.known_since
 
     def _is_in_grace_period(self, now: float) -> bool:
         return self._is_store_unavailable or now < self._store_available_at + EXPIRED_ENTRY_GRACE_S
@@ -371,7 +382,7 @@
     def _remove(self, target_id: str) -> None:
         self._kept_until_by_id.pop(target_id, None)
         self._earlier_start_by_id.pop(target_id, None)
-        self._confirmed_return_by_id.pop(target_id, None)
+        self._unconfirmed_since_by_id.pop(target_id, None)
         del self._entry_by_id[target_id]
         self._is_view_outdated = True
 
@@ -388,11 +399,7 @@
             {},
             self._evacuated_domains,
             leaving_since_by_id,
-            {
-                target_id: self._return_by_domain[entry.domain].known_since
-                for target_id, entry in entry_by_id.items()
-                if self._is_unconfirmed(entry)
-            },
+            dict(self._unconfirmed_since_by_id),
         )
         usable_by_service: dict[str, list[TargetEntry]] = defaultdict(list)
         for target_id in sorted(self._entry_by_id):
--- a/packages/damasktide/src/damasktide/targets/tests/test_directory.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_directory.py
@@ -1,6 +1,7 @@
 """The list of targets: new incarnations, leaving, late check-ins, expiry in store outages."""
 
 import unittest
+from dataclasses import replace
 
 from damasktide.rows.store import version_of
 from damasktide.targets.directory import (
@@ -23,6 +24,10 @@
     return TargetEntry(name, incarnation, "desk", domain, (name, 80), 6, state)
 
 
+def cold_entry(name: str) -> TargetEntry:
+    return replace(entry(name), cold_start_remaining_s=1.5)
+
+
 def usable_ids(directory: TargetDirectory) -> list[str]:
     return [target.target_id for target in directory.view.usable_by_service.get("desk", ())]
 
@@ -222,15 +227,32 @@
     def unconfirmed(self) -> dict[str, float]:
         return dict(self.directory.view.unconfirmed_since_by_id)
 
-    def test_targets_are_unconfirmed_until_their_entries_change(self) -> None:
+    def test_targets_are_unconfirmed_until_their_entries_state_a_cold_start(self) -> None:
         """Guards against full load by an instance that has noticed no outage (review/7, seed 5).
 
         The entries were from before an outage of the store.
         """
         self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
         self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
-        self.assertFalse(self.directory.record_listed(9.5, 21, entry()))
+        self.directory.record_listed(9.5, 21, cold_entry("t1"))
+        self.assertEqual(self.unconfirmed(), {"t2": 9.0})
+
+    def test_check_in_that_is_written_late_confirms_nothing(self) -> None:
+        """Guards against 17 to 20 requests a second at a cold target while writes were late.
+
+        Its entry was deleted and written again after the return, as it had been before.
+        """
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.record_unlisted(9.5, 21, "t1")
         self.assertEqual(self.unconfirmed(), {"t2": 9.0})
+        self.directory.record_listed(9.6, 22, entry("t1"))
+        self.directory.record_listed(9.6, 23, replace(entry("t2"), slots=7))
+        self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
+
+    def test_target_that_is_new_long_after_a_return_is_used(self) -> None:
+        self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
+        self.directory.record_listed(9.0 + COLD_S, 22, entry("t4"))
+        self.assertNotIn("t4", self.unconfirmed())
 
     def test_report_confirms_its_target(self) -> None:
         self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
@@ -258,15 +280,16 @@
     def test_check_in_from_before_the_return_confirms_nothing(self) -> None:
         """Guards against a check-in that is read late, and says nothing about the cold start."""
         self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
-        self.directory.record_listed(9.5, 19, entry())
+        self.directory.record_listed(9.5, 19, cold_entry("t1"))
         self.assertEqual(self.unconfirmed(), {"t1": 9.0, "t2": 9.0})
 
     def test_restored_entry_confirms_nothing(self) -> None:
         """Guards against an older copy of the store, whose rows are in a later era."""
         self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
-        self.directory.record_listed(9.5, version_of(1, 2), entry("t2"))
+        self.directory.record_listed(9.5, version_of(1, 2), cold_entry("t2"))
         self.assertIn("t2", self.unconfirmed())
-        self.directory.record_listed(10.0, version_of(1, 21), entry("t2"))
+        later = replace(entry("t2"), cold_start_remaining_s=0.5)
+        self.directory.record_listed(10.0, version_of(1, 21), later)
         self.assertNotIn("t2", self.unconfirmed())
 
     def test_evacuation_that_was_missed_counts(self) -> None:
@@ -283,8 +306,8 @@
 
     def test_each_return_is_confirmed_anew(self) -> None:
         self.directory.set_evacuated(9.0, frozenset(), {"a1": 20})
-        self.directory.record_listed(9.5, 21, entry())
-        self.directory.record_listed(9.5, 22, entry("t2"))
+        self.directory.record_listed(9.5, 21, cold_entry("t1"))
+        self.directory.record_listed(9.5, 22, cold_entry("t2"))
         self.assertEqual(self.unconfirmed(), {})
         self.directory.set_evacuated(10.0, frozenset({"a1"}), {"a1": 20})
         self.directory.set_evacuated(15.0, frozenset(), {"a1": 30})
