--- a/packages/damasktide/src/damasktide/dispatch/dispatcher.py
+++ b/packages/damasktide/src/damasktide/dispatch/dispatcher.py
@@ -166,10 +166,10 @@
     def take_due_probes(
         self, now: float, service_by_name: Mapping[str, Service]
     ) -> Iterator[tuple[TargetEntry, float]]:
-        """Yield the returned targets to ask whether they are cold, with the time of their return.
+        """Yield the returned targets to probe now, and the monotonic time of their return.
 
-        Each is yielded once for each return, on the instances that may send to cold targets. A
-        question counts as a request to it.
+        Only the instances that may send to a cold target probe it, once for each return. A probe
+        counts as a request to the target.
         """
         for target_id, returned_at in self._view.unconfirmed_since_by_id.items():
             entry = self._view.usable(target_id)
