Simplify the record of returns and correct what a failed probe means

The prober's texts said that the next check-in has what a failed probe would have said, which does not hold for a target that stays warm, as its entry does not change. No change of behaviour; all assertions are as they were.

--- a/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
+++ b/packages/damasktide/src/damasktide/dispatch/tests/test_cold_start.py
@@ -46,22 +46,20 @@
 class TestReturnedDomain(unittest.TestCase):
     """A failure domain returns to service while its targets may be cold without saying so."""
 
-    def setUp(self) -> None:
-        self.dispatcher = make_dispatcher(make_target("t1"))
+    def test_load_is_limited_until_the_target_is_confirmed(self) -> None:
+        """Guards against targets that crash under full load after an evacuation (review/7)."""
+        dispatcher = make_dispatcher(make_target("t1"))
         view = replace(make_view(make_target("t1")), unconfirmed_since_by_id={"t1": 1.0})
-        self.dispatcher.set_targets(1.0, view)
+        dispatcher.set_targets(1.0, view)
         sent = 0
-        while isinstance(self.dispatcher.choose(2.0, make_query()), TargetSelection):
+        while isinstance(dispatcher.choose(2.0, make_query()), TargetSelection):
             sent += 1
             self.assertLessEqual(sent, LIMIT_PER_S)
-
-    def test_load_is_limited_until_the_target_is_confirmed(self) -> None:
-        """Guards against targets that crash under full load after an evacuation (review/7)."""
-        refused = self.dispatcher.choose(2.0, make_query())
+        refused = dispatcher.choose(2.0, make_query())
         assert isinstance(refused, NoTarget)
         self.assertIs(refused.reason, NoTargetReason.ALL_COLD)
-        self.dispatcher.set_targets(2.1, make_view(make_target("t1")))
-        self.assertIsInstance(self.dispatcher.choose(2.1, make_query()), TargetSelection)
+        dispatcher.set_targets(2.1, make_view(make_target("t1")))
+        self.assertIsInstance(dispatcher.choose(2.1, make_query()), TargetSelection)
 
 
 class TestColdStartLimiter(unittest.TestCase):
--- a/packages/damasktide/src/damasktide/targets/cold_start_probe.py
+++ b/packages/damasktide/src/damasktide/targets/cold_start_probe.py
@@ -14,7 +14,6 @@
 from damasktide.runtime.task import Task, handles
 from damasktide.targets.target import TargetEntry
 
-# A probe that takes longer is of little use: the target checks in about once a second.
 PROBE_TIMEOUT_S = 0.5
 MAX_CONCURRENT_PROBES = 16
 MAX_RESPONSE_BODY_BYTES = 64 * 1024
@@ -71,7 +70,8 @@
 class ColdStartProber(Task):
     """Sends each probe on a connection of its own.
 
-    A probe that fails is not repeated, because the next check-in has the same information.
+    A probe that fails is not repeated. Its target stays limited until its entry states a cold
+    start, or until one would have ended.
 
     Parameters
     ----------
--- a/packages/damasktide/src/damasktide/targets/directory.py
+++ b/packages/damasktide/src/damasktide/targets/directory.py
@@ -275,10 +275,11 @@
         ended_at_version_by_domain
             Version of the store at the end of the latest evacuation of each failure domain.
         """
+        known = self._return_by_domain
         ended = {
             domain: _Return(version, now)
             for domain, version in ended_at_version_by_domain.items()
-            if version > self._return_version(domain)
+            if domain not in known or version > known[domain].version
         }
         if domains == self._evacuated_domains and not ended:
             return False
@@ -359,10 +360,6 @@
         is_same_incarnation = known.incarnation == entry.incarnation
         return is_same_incarnation and entry.state is TargetState.READY
 
-    def _return_version(self, domain: str) -> int:
-        latest = self._return_by_domain.get(domain)
-        return 0 if latest is None else latest.version
-
     def _update_unconfirmed(
         self, now: float, version: int, entry: TargetEntry, is_new: bool
     ) -> None:
--- a/packages/damasktide/src/damasktide/targets/tests/test_return.py
+++ b/packages/damasktide/src/damasktide/targets/tests/test_return.py
@@ -25,21 +25,17 @@
     return TargetEntry(row.key, 1, "desk", "a1", (row.key, 80), 6, TargetState.READY)
 
 
-def make_task() -> TargetTask:
-    return TargetTask(
-        None,  # type: ignore[arg-type]
-        TABLE,
-        decode,
-        lambda view: None,
-        lambda: None,
-    )
-
-
 class TestLoadAfterAReturn(unittest.TestCase):
     """An instance that reads from another one, and has noticed no outage of the store."""
 
     def setUp(self) -> None:
-        self.targets = make_task()
+        self.targets = TargetTask(
+            None,  # type: ignore[arg-type]
+            TABLE,
+            decode,
+            lambda view: None,
+            lambda: None,
+        )
         self.routing = RoutingTask(
             None,  # type: ignore[arg-type]
             "op",
